--- /dev/null
+++ b/frostport/__init__.py
@@ -0,0 +1,5 @@
+"""frostport: overload decisions for an edge proxy in front of a few core servers."""
+
+from frostport.decide import Controller
+
+__all__ = ["Controller"]
--- a/ferryhead/wirehost.py
+++ b/frostport/adapter.py
@@ -14,8 +14,8 @@
 from collections.abc import Callable, Iterator
 from typing import TextIO, TypeVar
 
-from ferryhead import interface as api
-from ferryhead.logic import Controller
+from frostport import interface as api
+from frostport.decide import Controller
 
 T = TypeVar("T")
 
@@ -387,10 +387,10 @@
             sink.write("\n".join(reply) + "\n")
             sink.flush()
     except WireError as problem:
-        print(f"ferryhead: {problem}", file=errors)
+        print(f"frostport: {problem}", file=errors)
         return 2
     except UnicodeDecodeError:
-        print("ferryhead: input: field text: not UTF-8", file=errors)
+        print("frostport: input: field text: not UTF-8", file=errors)
         return 2
     return 0
 
--- a/ferryhead/logic.py
+++ b/frostport/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of ferryhead. Types, events and actions: ferryhead/interface.py.
+"""Every decision of frostport. Types, events and actions: frostport/interface.py.
 
 Per server one Control after ND1115 section 7: Detection (a leaky bucket of rejects), Update (a ceiling
 moved a step each tick) and Restriction (a token bucket at the ceiling). The Controller routes calls.
@@ -11,8 +11,8 @@
 import struct
 from typing import Any
 
-from ferryhead import interface as api
-from ferryhead.interface import Lifecycle, ListKind, Outcome
+from frostport import interface as api
+from frostport.interface import Lifecycle, ListKind, Outcome
 
 # --- Tuned values -----------------------------------------------------------------------------------
 BEAT_MS = 50.0  # how often held calls are looked at; well under any aim
