--- a/frostport/adapter.py
+++ b/frostport/adapter.py
@@ -15,11 +15,12 @@
 from typing import TextIO, TypeVar
 
 from frostport import interface as api
+from frostport import settings
 from frostport.decide import Controller
+from frostport.settings import ABSENT
 
 T = TypeVar("T")
 
-ABSENT = "-"
 MARK_REDIAL, MARK_TRANSIT, MARK_CUT = 2, 8, 16
 NOTE_BITS = 16
 
@@ -112,85 +113,15 @@
         return words[text]
 
 
-class Conf:
-    """The settings' path=value pairs; unknown ones are skipped, absent ones keep their default."""
-
-    def __init__(self, fields: Fields) -> None:
-        self._fields = fields
-        self._pairs: dict[str, str] = {}
-        for pair in fields.rest():
-            path, equals, value = pair.partition("=")
-            if not equals:
-                raise fields.error("conf", f"not path=value: {pair!r}")
-            self._pairs[path] = value
-
-    def text(self, path: str, default: str = "") -> str:
-        return self._pairs.get(path, default)
-
-    def number(self, path: str, default: float) -> float:
-        return self._fields.as_number(path, self._pairs[path]) if path in self._pairs else default
-
-    def integer(self, path: str, default: int) -> int:
-        return int(self.number(path, default))
-
-    def flag(self, path: str) -> bool:
-        value = self._pairs.get(path, "false")
-        if value not in ("true", "false", "1", "0"):
-            raise self._fields.error(path, f"not true or false: {value!r}")
-        return value in ("true", "1")
-
-    def words(self, path: str) -> list[str]:
-        value = self._pairs.get(path, "")
-        return value.split(",") if value not in ("", ABSENT) else []
-
-    def numbers(self, path: str) -> tuple[float, ...]:
-        return tuple(self._fields.as_number(path, part) for part in self.words(path))
-
-    def integers(self, path: str) -> tuple[int, ...]:
-        return tuple(int(value) for value in self.numbers(path))
-
-
 def read_settings(fields: Fields) -> api.Settings:
     """The settings of a `launch` line."""
-    conf = Conf(fields)
-    defaults = api.Settings(classes=())
-    classes = []
-    holding = conf.numbers("family-info.holding-ms")
-    for index in range(conf.integer("services.count", 0)):
-        at = f"services.{index}."
-        pools = f"family-info.pools-by-class.{index}"
-        deadline = conf.number(at + "deadline-ms", 0.0)
-        classes.append(api.CallClass(
-            name=conf.text(at + "name"), aim_ms=conf.number(at + "aim-ms", deadline),
-            deadline_ms=deadline, gain=conf.number(at + "gain", 1.0),
-            late_worth=conf.number(at + "late-worth", 0.0),
-            holding_ms=holding[index] if index < len(holding) else 0.0,
-            pools=conf.integers(pools) or None if conf.text("family-info.topology") == "pools" else None))
-    tenants = tuple(
-        api.Tenant(conf.text(f"tenants.{index}.name"), conf.number(f"tenants.{index}.quota-per-s", 0.0),
-                   conf.number(f"tenants.{index}.share", 0.0))
-        for index in range(conf.integer("tenants.count", 0)))
-    return api.Settings(
-        classes=tuple(classes), tenants=tenants, me=conf.integer("me", defaults.me),
-        siblings=conf.integer("siblings", defaults.siblings),
-        home_number=conf.integer("family-info.home-no", defaults.home_number),
-        step_ms=conf.number("step-ms", defaults.step_ms),
-        retransmit_ms=conf.number("family-info.retransmit-ms", defaults.retransmit_ms),
-        release_guard_ms=conf.number("family-info.release-guard-ms", defaults.release_guard_ms),
-        gives_wait=conf.flag("family-info.gives-wait"),
-        cold_from=conf.number("rules.cold-from", defaults.cold_from),
-        cold_ms=conf.number("rules.cold-ms", defaults.cold_ms),
-        fall_multiple=conf.number("rules.fall-multiple", defaults.fall_multiple),
-        fall_ms=conf.number("rules.fall-ms", defaults.fall_ms),
-        over_share_worth=conf.number("over-share-worth", defaults.over_share_worth),
-        try_limit=conf.integer("caps.try-limit", defaults.try_limit),
-        may_cancel=conf.flag("caps.may-cancel"), peers=conf.flag("caps.peers"),
-        probes=conf.flag("caps.probes"), retry_after=conf.flag("caps.retry-after"),
-        max_retry_after_ms=conf.number("caps.max-retry-after-ms", defaults.max_retry_after_ms),
-        connect_timeout_ms=conf.number("caps.connect-timeout-ms", defaults.connect_timeout_ms),
-        late_fail_price=conf.number("prices.late-fail", defaults.late_fail_price),
-        subscribe=conf.text("discovery") == "subscribe",
-        report_columns=tuple(conf.words("report.columns")))
+    pairs: dict[str, str] = {}
+    for pair in fields.rest():
+        path, equals, value = pair.partition("=")
+        if not equals:
+            raise fields.error("conf", f"not path=value: {pair!r}")
+        pairs[path] = value
+    return settings.read(settings.Conf(pairs, fields.error))
 
 
 def read_server(fields: Fields) -> api.Server:
@@ -332,8 +263,8 @@
             return
         if fields.name == "launch":
             seed = fields.integer("entropy")
-            settings = read_settings(fields)
-            self._run(instance, reply, lambda: self._start(instance, settings, seed))
+            given = read_settings(fields)
+            self._run(instance, reply, lambda: self._start(instance, given, seed))
             return
         event = self._read_list(fields) if fields.name == "membership" else READERS[fields.name](fields)
         fields.finish()
@@ -342,8 +273,8 @@
             raise fields.error("proxy", f"instance {instance} was not launched")
         self._run(instance, reply, lambda: controller.handle(event, self._now))
 
-    def _start(self, instance: int, settings: api.Settings, seed: int) -> list[api.Action]:
-        self._controllers[instance] = Controller(settings, seed)
+    def _start(self, instance: int, given: api.Settings, seed: int) -> list[api.Action]:
+        self._controllers[instance] = Controller(given, seed)
         return []
 
     @staticmethod
--- /dev/null
+++ b/frostport/cli.py
@@ -0,0 +1,46 @@
+"""The command line: `serve` (also without a word), `version`, `check-config`."""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import logging
+import os
+import sys
+from collections.abc import Sequence
+
+from frostport import config
+
+VERSION = "0.2.0"
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(prog="frostport", description="A call agent before a few lobby servers.")
+    commands = made.add_subparsers(dest="command", metavar="COMMAND")
+    serve = commands.add_parser("serve", help="run the call agent (the default)")
+    check = commands.add_parser("check-config", help="read a configuration and say what is wrong with it")
+    for command in (serve, check):
+        command.add_argument("--config", metavar="FILE",
+                             help=f"the configuration; else the file that {config.CONFIG_VARIABLE} names")
+    commands.add_parser("version", help="print the version")
+    return made
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    given = parser().parse_args(arguments)
+    if given.command == "version":
+        print(f"frostport {VERSION}")
+        return 0
+    try:
+        loaded = config.load(config.find_path(getattr(given, "config", None), os.environ))
+    except config.ConfigError as problem:
+        print(f"frostport: configuration: {problem}", file=sys.stderr)
+        return 2
+    if given.command == "check-config":
+        print(f"configuration of {loaded.name or 'a call agent'} is sound")
+        return 0
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(name)s %(message)s")
+    from frostport.agent import serve
+
+    gc.freeze()  # what was imported stays: the collector need not look at it again
+    return serve(loaded)
--- /dev/null
+++ b/frostport/core/__init__.py
@@ -0,0 +1,1 @@
+"""The broker's core: requests, attempts and outcomes. It knows no wire and imports no network code."""
--- /dev/null
+++ b/frostport/core/broker.py
@@ -0,0 +1,380 @@
+"""The broker: requests, their attempts and outcomes, and one final answer each.
+
+It feeds the decision module the events that the simulator would, in the same order, and carries out
+what the module asks for through a front (towards clients) and a route (towards servers).
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from frostport import interface as api
+from frostport.core.clock import Clock
+from frostport.core.deadlines import Deadline, Deadlines
+from frostport.core.rules import UNCLEAN, Rules
+from frostport.core.slots import Slots
+from frostport.interface import Outcome
+
+log = logging.getLogger("frostport.broker")
+
+REMEMBER_MS = 120_000.0  # how long an ended call's id is known: releases may be repeated on later connections
+OVERDUE_MS = 10.0  # a request still open this long after its caller's time gets its answer from the broker
+
+
+class Module(Protocol):
+    """The decision module."""
+
+    def handle(self, event: api.Event, now_ms: float) -> list[api.Action]: ...
+
+
+class State(Enum):
+    """Where a request stands."""
+
+    OPEN = "open"  # owes a final answer
+    STANDING = "standing"
+    OVER = "over"
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One call: `id`, `key` and `description` go on to the server as they came."""
+
+    id: str
+    call_class: str
+    key: str
+    description: str
+    end_at: float
+    front: Front
+    place: int  # the front's number of the connection it came on
+    slot: int = -1
+    state: State = State.OPEN
+    attempts: int = 0
+    attempt: Attempt | None = None  # the one that is out, or on which the call stands
+    not_before: float = 0.0
+    overdue: Deadline | None = None
+    stood_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One set-up at one server."""
+
+    request: Request
+    number: int
+    server: str
+    sent_at: float
+    end_at: float
+    timeout: Deadline | None = None
+    link: int | None = None  # the route's number of the connection it went out on
+    out: bool = True
+
+
+class Front(Protocol):
+    """What the broker says towards clients. Each request hears one of the first three, once."""
+
+    def stands(self, request: Request, description: str) -> None: ...
+
+    def refused(self, request: Request, stay_away_ms: float) -> None: ...
+
+    def failed(self, request: Request) -> None: ...
+
+    def over(self, call: str, place: int, outcome: Outcome) -> None:
+        """A call that stood has ended (`place` -1 where it isn't known on which connection it came)."""
+
+
+class Route(Protocol):
+    """What the broker asks of the servers' side; outcomes come back to the broker's methods."""
+
+    def send(self, attempt: Attempt) -> None: ...
+
+    def give_up(self, attempt: Attempt) -> None:
+        """The attempt is no longer waited for."""
+
+    def release(self, attempt: Attempt) -> None:
+        """The call that stands on this attempt is over at the client's side."""
+
+    def release_unknown(self, call: str) -> None:
+        """A client ended a call set up before this program's start: only the servers know where it stands."""
+
+    def probe(self, server: str, number: int) -> None: ...
+
+
+class Broker:
+    """The calls of one call agent."""
+
+    def __init__(self, module: Module, rules: Rules, clock: Clock, deadlines: Deadlines,
+                 probe_timeout_ms: float) -> None:
+        self.module, self.rules, self.clock, self.deadlines = module, rules, clock, deadlines
+        self.probe_timeout_ms = probe_timeout_ms
+        self.tell: Callable[[int, bytes], None] = lambda peer, data: None
+        self.route: Route | None = None
+        self.requests: Slots[Request] = Slots()
+        self.by_id: dict[str, int] = {}
+        self.ended_ids: OrderedDict[str, float] = OrderedDict()
+        self.open = 0
+        self.idle: Callable[[], None] = lambda: None  # called when the last open request is answered
+        self._probes: dict[int, tuple[str, float]] = {}
+        self._probe_number = 0
+        self._events: deque[tuple[api.Event, Request | None]] = deque()
+        self._feeding = False
+
+    # From the front
+
+    def find(self, call: str) -> Request | None:
+        slot = self.by_id.get(call)
+        return None if slot is None else self.requests.get(slot)
+
+    def arrive(self, request: Request, event: api.CallArrived) -> None:
+        """A new request; its id is not one of those open or standing."""
+        request.slot = self.requests.add(request)
+        self.by_id[request.id] = request.slot
+        self.ended_ids.pop(request.id, None)
+        self.open += 1
+        request.overdue = self.deadlines.set(request.end_at + OVERDUE_MS, lambda: self._overdue(request))
+        self._feed(event, request)
+
+    def gone(self, request: Request) -> None:
+        """The client no longer waits for the answer."""
+        if request.state is not State.OPEN:
+            return
+        self._close(request)
+        self._feed(api.CallGone(request.id), request)
+        self._withdraw(request)
+
+    def release(self, request: Request) -> None:
+        """The client ends a call that stands."""
+        attempt = request.attempt
+        if request.state is not State.STANDING or attempt is None:
+            return
+        self._close(request)
+        self._route().release(attempt)
+        self._end(attempt, Outcome.CANCELLED)
+
+    def release_unknown(self, call: str) -> None:
+        """A client's release of an id not known here; one that ended lately has been released already."""
+        if call not in self.ended_ids:
+            self._remember(call)
+            self._route().release_unknown(call)
+
+    # From the route
+
+    def stood(self, attempt: Attempt, description: str) -> None:
+        request, now = attempt.request, self.clock.now()
+        if not attempt.out or request.state is not State.OPEN:
+            return
+        self._stop(attempt)
+        self._answered(request)
+        request.state, request.stood_at = State.STANDING, now
+        request.front.stands(request, description)
+        self._feed(api.CallStands(request.id, attempt.number, attempt.server, now - attempt.sent_at), request)
+
+    def ended(self, attempt: Attempt, outcome: Outcome, note: int = 0, wait_ms: float = 0.0,
+              report: tuple[float, ...] = ()) -> None:
+        """An attempt that is out has failed, or the call that stands on it has come to its end."""
+        request = attempt.request
+        if request.attempt is not attempt:
+            return
+        if request.state is State.STANDING:
+            self._close(request)
+            request.front.over(request.id, request.place, outcome)
+        self._end(attempt, outcome, note, wait_ms, report)
+
+    def over_unknown(self, call: str, front: Front, outcome: Outcome) -> None:
+        """A server's release of an id not known here: a call set up before this program's start."""
+        if call not in self.ended_ids:
+            self._remember(call)
+            front.over(call, -1, outcome)
+
+    def cut(self, server: str, before_ms: float) -> None:
+        """A server's process has died: the calls that stood on it before are over."""
+        for request in self.requests:
+            attempt = request.attempt
+            if (request.state is State.STANDING and attempt is not None and attempt.server == server
+                    and request.stood_at <= before_ms):
+                self.ended(attempt, Outcome.RESET)
+
+    def reported(self, server: str, report: tuple[float, ...]) -> None:
+        """A report that came unasked."""
+        self._feed(api.ServerReport(server, Outcome.OK, 0.0, report))
+
+    def probed(self, number: int, outcome: Outcome, report: tuple[float, ...] = ()) -> None:
+        if number in self._probes:
+            server, sent_at = self._probes.pop(number)
+            # Guards against a clock that stands still: 0 would mark a report that came unasked.
+            elapsed = max(0.001, self.clock.now() - sent_at)
+            self._feed(api.ServerReport(server, outcome, elapsed, report))
+
+    def listed(self, kind: api.ListKind, version: int, servers: Iterable[api.Server]) -> set[str]:
+        """The server list or changes to it; returns the servers that are no longer on it."""
+        servers = tuple(servers)
+        removed = self.rules.listed(kind, servers, self.clock.now())
+        self._feed(api.ListUpdate(kind, version, servers))
+        return removed
+
+    def told(self, sender: int, data: bytes) -> None:
+        """A message from another call agent."""
+        self._feed(api.PeerMessage(sender, data))
+
+    # At the program's end
+
+    def fail_all(self) -> None:
+        """Answers whatever is still open."""
+        for request in self.requests:
+            if request.state is State.OPEN:
+                self._give_final(request, lambda request: request.front.failed(request))
+
+    # The module's side
+
+    def _feed(self, event: api.Event, request: Request | None = None) -> None:
+        """One event to the module at a time: what its actions bring about comes after them."""
+        self._events.append((event, request))
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._events:
+                self._handle(*self._events.popleft())
+        finally:
+            self._feeding = False
+
+    def _handle(self, event: api.Event, request: Request | None) -> None:
+        now = self.clock.now()
+        try:
+            actions = self.module.handle(event, now)
+        except Exception:  # a fault in one call costs that call, not the agent
+            log.exception("the module failed on %s", type(event).__name__)
+            if request is not None and request.state is State.OPEN:
+                self._give_final(request, lambda request: request.front.failed(request))
+            return
+        for action in actions:
+            try:
+                self._perform(action, now)
+            except Exception:
+                log.exception("action %s failed", type(action).__name__)
+                call = self.find(getattr(action, "call", ""))
+                if call is not None and call.state is State.OPEN:
+                    self._give_final(call, lambda call: call.front.failed(call))
+
+    def _perform(self, action: api.Action, now: float) -> None:
+        match action:
+            case api.SendAttempt(call, server, within):
+                request = self.find(call)
+                if request is not None:
+                    self._send(request, server, within, now)
+            case api.CancelAttempt(call, number):
+                request = self.find(call)
+                if request is not None and request.state is State.OPEN and request.attempt is not None \
+                        and request.attempt.number == number:
+                    self._withdraw(request)
+            case api.RefuseCall(call, stay_away):
+                request = self.find(call)
+                if request is not None and request.state is State.OPEN:
+                    self._give_final(request, lambda request: request.front.refused(request, stay_away))
+            case api.FailCall(call):
+                request = self.find(call)
+                if request is not None and request.state is State.OPEN:
+                    self._give_final(request, lambda request: request.front.failed(request))
+            case api.SetTimer(name, after):
+                self.deadlines.set(now + after, lambda: self._feed(api.TimerFired(name)))
+            case api.Probe(server):
+                self._probe(server, now)
+            case api.TellPeer(peer, data):
+                self.tell(peer, data)
+            case api.WriteLog(text):
+                log.info("module: %s", text)
+            case api.Subscribe():
+                pass  # changes come by themselves on this wire
+
+    def _send(self, request: Request, server: str, within: float, now: float) -> None:
+        reason = self.rules.against(request, server, within, now)
+        number, request.attempts = request.attempts, request.attempts + 1
+        if reason is not None:
+            self.rules.stop(request, server, reason)
+            self._feed(api.AttemptEnded(request.id, number, server, Outcome.NOT_SENT, 0.0,
+                                        request.state is not State.OPEN), request)
+            return
+        end_at = min(request.end_at, now + within) if within > 0.0 else request.end_at
+        attempt = request.attempt = Attempt(request, number, server, now, end_at)
+        attempt.timeout = self.deadlines.set(end_at, lambda: self._timed_out(attempt))
+        self._route().send(attempt)
+
+    def _probe(self, server: str, now: float) -> None:
+        self._probe_number += 1
+        number = self._probe_number
+        self._probes[number] = (server, now)
+        self.deadlines.set(now + self.probe_timeout_ms, lambda: self.probed(number, Outcome.TIMEOUT))
+        self._route().probe(server, number)
+
+    # Shared steps
+
+    def _route(self) -> Route:
+        assert self.route is not None
+        return self.route
+
+    def _stop(self, attempt: Attempt) -> None:
+        attempt.out = False
+        if attempt.timeout is not None:
+            attempt.timeout.cancel()
+
+    def _end(self, attempt: Attempt, outcome: Outcome, note: int = 0, wait_ms: float = 0.0,
+             report: tuple[float, ...] = ()) -> None:
+        self._stop(attempt)
+        request, now = attempt.request, self.clock.now()
+        request.attempt = None
+        if outcome in UNCLEAN:
+            request.not_before = now + self.rules.settings.release_guard_ms
+        self._feed(api.AttemptEnded(
+            request.id, attempt.number, attempt.server, outcome, now - attempt.sent_at,
+            request.state is not State.OPEN, note, wait_ms, report), request)
+
+    def _withdraw(self, request: Request) -> None:
+        """Gives up the attempt that is out, if any."""
+        attempt = request.attempt
+        if attempt is not None and attempt.out:
+            self._route().give_up(attempt)
+            self._end(attempt, Outcome.CANCELLED)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.out:
+            self._route().give_up(attempt)
+            self._end(attempt, Outcome.TIMEOUT)
+
+    def _overdue(self, request: Request) -> None:
+        """Guards against a call that the module has lost sight of."""
+        if request.state is State.OPEN:
+            log.warning("%s overdue: answered by the broker", request.id)
+            self._give_final(request, lambda request: request.front.failed(request))
+            self._feed(api.CallGone(request.id), request)
+
+    def _give_final(self, request: Request, say: Callable[[Request], None]) -> None:
+        self._close(request)
+        say(request)
+        self._withdraw(request)
+
+    def _answered(self, request: Request) -> None:
+        self.open -= 1
+        if request.overdue is not None:
+            request.overdue.cancel()
+        if not self.open:
+            self.idle()
+
+    def _close(self, request: Request) -> None:
+        """The request is over: its slot is free, its id is remembered for releases still on their way."""
+        if request.state is State.OPEN:
+            request.state = State.OVER
+            self._answered(request)
+        request.state = State.OVER
+        self.requests.free(request.slot)
+        del self.by_id[request.id]
+        self._remember(request.id)
+
+    def _remember(self, call: str) -> None:
+        now = self.clock.now()
+        self.ended_ids[call] = now
+        while self.ended_ids and next(iter(self.ended_ids.values())) < now - REMEMBER_MS:
+            self.ended_ids.popitem(last=False)
--- /dev/null
+++ b/frostport/core/rules.py
@@ -0,0 +1,81 @@
+"""The guard before every send. It decides nothing: what it stops would have broken a rule."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from frostport import interface as api
+from frostport.interface import Lifecycle, ListKind
+
+if TYPE_CHECKING:
+    from frostport.core.broker import Request
+
+log = logging.getLogger("frostport.rules")
+
+UNCLEAN = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED)
+
+
+@dataclass(slots=True)
+class Told:
+    """What the list last said of a server, and since when it has said that nothing new may go there."""
+
+    number: int
+    stop_at: float | None = None
+
+
+class Rules:
+    """Keeps what the rules need to know and says why a send may not go."""
+
+    def __init__(self, settings: api.Settings, drain_grace_ms: float) -> None:
+        self.settings, self.grace = settings, drain_grace_ms
+        self.pools = {cls.name: cls.pools for cls in settings.classes}
+        self.servers: dict[str, Told] = {}
+        self.stopped: Counter[str] = Counter()
+
+    def listed(self, kind: ListKind, servers: Iterable[api.Server], now: float) -> set[str]:
+        """Takes in a list and returns the servers that it removes."""
+        removed = set()
+        named = set()
+        for server in servers:
+            told = self.servers.setdefault(server.address, Told(server.number))
+            told.number = server.number
+            named.add(server.address)
+            if server.state is Lifecycle.READY:
+                told.stop_at = None
+            else:
+                told.stop_at = now if told.stop_at is None else told.stop_at
+            if server.state is Lifecycle.GONE:
+                removed.add(server.address)
+        if kind in (ListKind.COMPLETE, ListKind.PERSISTED):
+            for address, told in self.servers.items():
+                if address not in named:
+                    told.stop_at = now if told.stop_at is None else told.stop_at
+                    removed.add(address)
+        return removed
+
+    def against(self, request: Request, server: str, within_ms: float, now: float) -> str | None:
+        """Why this send may not go, or None."""
+        told = self.servers.get(server)
+        pools = self.pools.get(request.call_class)
+        if request.attempt is not None:
+            return "second attempt"
+        if request.attempts >= self.settings.try_limit:
+            return "try limit"
+        if now < request.not_before:
+            return "release guard"
+        if within_ms < 0.0 or now >= request.end_at:
+            return "too late"
+        if told is None or (pools is not None and told.number not in pools):
+            return "wrong server"
+        if told.stop_at is not None and now > told.stop_at + self.grace:
+            return "drained server"
+        return None
+
+    def stop(self, request: Request, server: str, reason: str) -> None:
+        self.stopped[reason] += 1
+        log.warning("send of %s to %s stopped: %s (%d so far)", request.id, server, reason,
+                    self.stopped.total())
--- /dev/null
+++ b/frostport/core/slots.py
@@ -0,0 +1,45 @@
+"""Tables of numbered slots: connections and requests live in them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Slots(Generic[T]):
+    """Numbers count from 0; the one freed last is handed out first."""
+
+    def __init__(self, limit: int | None = None) -> None:
+        self._items: list[T | None] = []
+        self._free: list[int] = []
+        self.limit = limit
+
+    def __len__(self) -> int:
+        return len(self._items) - len(self._free)
+
+    def full(self) -> bool:
+        return self.limit is not None and len(self) >= self.limit
+
+    def add(self, item: T) -> int:
+        if self.full():
+            raise OverflowError(f"all {self.limit} slots are taken")
+        if self._free:
+            number = self._free.pop()
+            self._items[number] = item
+            return number
+        self._items.append(item)
+        return len(self._items) - 1
+
+    def get(self, number: int) -> T | None:
+        return self._items[number] if 0 <= number < len(self._items) else None
+
+    def free(self, number: int) -> None:
+        if self.get(number) is None:
+            raise KeyError(number)
+        self._items[number] = None
+        self._free.append(number)
+
+    def __iter__(self) -> Iterator[T]:
+        return iter([item for item in self._items if item is not None])
--- /dev/null
+++ b/frostport/diameter/__init__.py
@@ -0,0 +1,1 @@
+"""The Diameter front and route."""
--- /dev/null
+++ b/frostport/net/peers.py
@@ -0,0 +1,47 @@
+"""Datagrams between call agents: late, lost, and never longer than the platform allows."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from twisted.internet import protocol
+
+from frostport.core.broker import Broker
+
+log = logging.getLogger("frostport.peers")
+
+LONGEST = 256
+
+
+def split(address: str) -> tuple[str, int]:
+    """`host:port` as a pair."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Peers(protocol.DatagramProtocol):
+    """Sends to peers by their number, and knows a sender by its address."""
+
+    transport: Any = None
+
+    def __init__(self, broker: Broker, addresses: list[str]) -> None:
+        self.broker = broker
+        self.addresses = [split(address) for address in addresses]
+        self.numbers = {address: number for number, address in enumerate(self.addresses)}
+
+    def tell(self, peer: int, data: bytes) -> None:
+        if len(data) > LONGEST or not 0 <= peer < len(self.addresses):
+            log.warning("message of %d bytes to peer %d not sent", len(data), peer)
+        elif self.transport is not None:
+            try:
+                self.transport.write(data, self.addresses[peer])
+            except OSError as problem:  # a datagram may be lost anyway
+                log.warning("message to peer %d lost: %s", peer, problem)
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
+        sender = self.numbers.get((addr[0], addr[1]))
+        if sender is None:
+            log.warning("message from an unknown address dropped")
+        else:
+            self.broker.told(sender, datagram)
