--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+import random
 import signal
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol
 
 from frostport.config import Config
@@ -18,14 +20,18 @@
 from frostport.core.lifecycle import Lifecycle, Phase
 from frostport.core.rules import Rules
 from frostport.decide import Controller
+from frostport.diameter.front import DiameterFront
+from frostport.diameter.peer import Identity
+from frostport.diameter.route import DiameterRoute
 from frostport.net.bus import EventBus, ServerList
-from frostport.net.front import FrontFactory, PlatformFront
+from frostport.net.front import PlatformFront
 from frostport.net.lobby import LobbyServers
 from frostport.net.peers import Peers, split
 
 log = logging.getLogger("frostport.agent")
 
 PROBE_TIMEOUT_MS = 250.0
+CONNECT_TIMEOUT_MS = 500.0  # where the settings name none
 CLOSING_MS = 900.0  # after SIGTERM: connections come for 0.4 s at most, requests for 0.2 s more
 LAST_ANSWER_MS = 3500.0  # after SIGTERM: what is open then is answered, SIGKILL comes from 3.7 s on
 FLUSH_MS = 50.0  # for the last answers to leave
@@ -55,8 +61,77 @@
         self.schedule()
 
 
+class PlatformSide:
+    """The platform's wires: JSON lines on both sides, the event bus, datagrams."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent, config = agent, agent.config
+        self.front = PlatformFront(agent.broker, agent.lifecycle, config.sockets // 2)
+        self.servers = LobbyServers(agent.broker, self.front, agent.connect,
+                                    config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS)
+        agent.broker.route = self.servers
+        self.list = ServerList(agent.broker, self.servers)
+
+    def factory(self) -> Factory:
+        return Accept(self.front.build)
+
+    def start(self) -> None:
+        agent, config = self.agent, self.agent.config
+        if config.peer_listen:
+            peers = Peers(agent.broker, config.peers)
+            host, port = split(config.peer_listen)
+            agent.reactor.listenUDP(port, peers, interface=host)
+            agent.broker.tell = peers.tell
+        self.list.known(config.known, config.offset)
+        if config.bus:
+            EventBus(self.list, config.bus, agent.connect).start()
+
+    def leave(self) -> None:
+        """Nothing is said to anyone: calls that stand do so without this program."""
+
+
+class DiameterSide:
+    """Diameter on both sides, set up by an operator's file."""
+
+    def __init__(self, agent: Agent) -> None:
+        config, wanted = agent.config, agent.config.diameter
+        assert wanted is not None
+        identity = Identity(wanted.host, wanted.realm, int(agent.clock.now() / 1000.0),
+                            split(config.listen)[0])
+        chance = random.Random(config.seed)
+        numbers = {server.host: server.number for server in wanted.servers}
+        self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
+                                   wanted.watchdog_ms, chance)
+        self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
+                                   wanted.sessions_lost_ms, chance, agent.connect)
+        agent.broker.route = self.route
+
+    def factory(self) -> Factory:
+        return Accept(lambda: self.front.connection(calling=False))
+
+    def start(self) -> None:
+        self.route.start()
+
+    def leave(self) -> None:
+        self.route.ending = True
+        self.front.disconnect()
+        self.route.disconnect()
+
+
+class Accept(Factory):
+    """Hands each accepted connection to a front."""
+
+    noisy = False
+
+    def __init__(self, build: Callable[[], Protocol | None]) -> None:
+        self.build = build
+
+    def buildProtocol(self, addr: IAddress | None) -> Protocol | None:  # noqa: N802 (Twisted's name)
+        return self.build()
+
+
 class Agent:
-    """One call agent on the platform."""
+    """One call agent: the core, one front and one route."""
 
     def __init__(self, config: Config, reactor: Any, clock: Clock | None = None) -> None:
         self.config, self.reactor = config, reactor
@@ -65,12 +140,8 @@
         self.rules = Rules(config.settings, config.drain_grace_ms)
         self.broker = Broker(Controller(config.settings, config.seed), self.rules, self.clock, self.deadlines,
                              PROBE_TIMEOUT_MS)
-        self.front = PlatformFront(self.broker, self.lifecycle, config.sockets // 2)
-        self.servers = LobbyServers(self.broker, self.front, self.connect,
-                                    config.settings.connect_timeout_ms or 500.0)
-        self.broker.route = self.servers
-        self.list = ServerList(self.broker, self.servers)
         self.pump = Pump(reactor, self.clock, self.deadlines)
+        self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
         self.listener: Any = None
         self._end: Deadline | None = None
         self.lifecycle.listen(self.entered)
@@ -84,15 +155,8 @@
     def start(self) -> None:
         """Opens everything; the list known at the start goes to the module first."""
         host, port = split(self.config.listen)
-        self.listener = self.reactor.listenTCP(port, FrontFactory(self.front), backlog=512, interface=host)
-        if self.config.peer_listen:
-            peers = Peers(self.broker, self.config.peers)
-            host, port = split(self.config.peer_listen)
-            self.reactor.listenUDP(port, peers, interface=host)
-            self.broker.tell = peers.tell
-        self.list.known(self.config.known, self.config.offset)
-        if self.config.bus:
-            EventBus(self.list, self.config.bus, self.connect).start()
+        self.listener = self.reactor.listenTCP(port, self.side.factory(), backlog=512, interface=host)
+        self.side.start()
         self.lifecycle.enter(Phase.SERVING)
 
     def terminate(self) -> None:
@@ -119,6 +183,7 @@
         if self._end is not None:
             self._end.cancel()
             self._end = None
+            self.side.leave()
             self.deadlines.set(self.clock.now() + FLUSH_MS, lambda: self.lifecycle.enter(Phase.STOPPED))
 
 
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -14,6 +14,7 @@
 from frostport.settings import SettingsError
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
+WATCHDOG_LEAST_MS = 6000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +33,29 @@
     offset: int
     peer_listen: str | None
     peers: list[str]
+    diameter: DiameterConfig | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class DiameterConfig:
+    """The second front: who this node is, which clients may connect, and which servers it calls."""
+
+    host: str
+    realm: str
+    clients: list[str]
+    servers: list[DiameterServer]
+    watchdog_ms: float = 30_000.0
+    sessions_lost_ms: float = 8_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class DiameterServer:
+    """One lobby server of the operator's file."""
+
+    host: str
+    dial: str
+    number: int
+    zone: str = ""
 
 
 class ConfigError(ValueError):
@@ -85,7 +109,46 @@
         bus=address(record, "bus", optional=True), known=batch,
         offset=field(known, "offset", int, 0, "known."),
         peer_listen=address(record, "peer_listen", optional=True),
-        peers=[check_address(f"peers.{index}", peer) for index, peer in enumerate(peers)])
+        peers=[check_address(f"peers.{index}", peer) for index, peer in enumerate(peers)],
+        diameter=read_diameter(record, given) if "diameter" in record else None)
+
+
+def read_diameter(record: Mapping[str, Any], given: api.Settings) -> DiameterConfig:
+    at = "diameter."
+    section = field(record, "diameter", dict, {})
+    if given.probes or given.peers:
+        raise ConfigError("settings.caps: no probes and no peer messages with Diameter")
+    clients, servers = field(section, "clients", list, [], at), []
+    for index, client in enumerate(clients):
+        name(f"{at}clients.{index}", client)
+    for index, entry in enumerate(field(section, "servers", list, [], at)):
+        place = f"{at}servers.{index}"
+        if not isinstance(entry, dict):
+            raise ConfigError(f"{place}: not an object")
+        servers.append(DiameterServer(
+            name(f"{place}.host", entry.get("host")), check_address(f"{place}.dial", entry.get("dial")),
+            field(entry, "number", int, index, f"{place}."), field(entry, "zone", str, "", f"{place}.")))
+    if not clients or not servers:
+        raise ConfigError(f"{at}{'servers' if clients else 'clients'}: none named")
+    watchdog = milliseconds(section, "watchdog_ms", 30_000.0, at)
+    if watchdog < WATCHDOG_LEAST_MS:
+        raise ConfigError(f"{at}watchdog_ms: under {WATCHDOG_LEAST_MS:.0f}, the least that RFC 3539 allows")
+    return DiameterConfig(
+        name(f"{at}host", section.get("host")), name(f"{at}realm", section.get("realm")), clients, servers,
+        watchdog, milliseconds(section, "sessions_lost_ms", 8_000.0, at))
+
+
+def name(place: str, value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{place}: no name")
+    return value
+
+
+def milliseconds(record: Mapping[str, Any], entry: str, default: float, inside: str) -> float:
+    value = record.get(entry, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise ConfigError(f"{inside}{entry}: not a number above 0")
+    return float(value)
 
 
 def field(record: Mapping[str, Any], name: str, kind: type, default: Any, inside: str = "") -> Any:
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
@@ -22,6 +23,8 @@
 
 log = logging.getLogger("frostport.broker")
 
+Body = str | bytes  # a description, opaque here: each front is paired with a route that knows its form
+
 REMEMBER_MS = 120_000.0  # how long an ended call's id is known: releases may be repeated on later connections
 OVERDUE_MS = 10.0  # a request still open this long after its caller's time gets its answer from the broker
 
@@ -47,7 +50,7 @@
     id: str
     call_class: str
     key: str
-    description: str
+    description: Body
     end_at: float
     front: Front
     place: int  # the front's number of the connection it came on
@@ -77,7 +80,7 @@
 class Front(Protocol):
     """What the broker says towards clients. Each request hears one of the first three, once."""
 
-    def stands(self, request: Request, description: str) -> None: ...
+    def stands(self, request: Request, description: Body) -> None: ...
 
     def refused(self, request: Request, stay_away_ms: float) -> None: ...
 
@@ -115,7 +118,7 @@
         self.route: Route | None = None
         self.requests: Slots[Request] = Slots()
         self.by_id: dict[str, int] = {}
-        self.ended_ids: OrderedDict[str, float] = OrderedDict()
+        self.ended_ids: OrderedDict[str, tuple[float, float]] = OrderedDict()  # ended at, not again before
         self.open = 0
         self.idle: Callable[[], None] = lambda: None  # called when the last open request is answered
         self._probes: dict[int, tuple[str, float]] = {}
@@ -133,10 +136,20 @@
         """A new request; its id is not one of those open or standing."""
         request.slot = self.requests.add(request)
         self.by_id[request.id] = request.slot
-        self.ended_ids.pop(request.id, None)
+        _, request.not_before = self.ended_ids.pop(request.id, (0.0, 0.0))
         self.open += 1
         request.overdue = self.deadlines.set(request.end_at + OVERDUE_MS, lambda: self._overdue(request))
-        self._feed(event, request)
+        if self.clock.now() < request.not_before:
+            # Guards against a call that comes again on a new connection while its last attempt's release
+            # is still awaited: the module doesn't know that it is the same call.
+            self.deadlines.set(request.not_before, lambda: self._feed_late(event, request))
+        else:
+            self._feed(event, request)
+
+    def _feed_late(self, event: api.CallArrived, request: Request) -> None:
+        if request.state is State.OPEN:
+            left = request.end_at - self.clock.now()
+            self._feed(dataclasses.replace(event, budget_ms=left), request)
 
     def gone(self, request: Request) -> None:
         """The client no longer waits for the answer."""
@@ -158,12 +171,12 @@
     def release_unknown(self, call: str) -> None:
         """A client's release of an id not known here; one that ended lately has been released already."""
         if call not in self.ended_ids:
-            self._remember(call)
+            self._remember(call, 0.0)
             self._route().release_unknown(call)
 
     # From the route
 
-    def stood(self, attempt: Attempt, description: str) -> None:
+    def stood(self, attempt: Attempt, description: Body) -> None:
         request, now = attempt.request, self.clock.now()
         if not attempt.out or request.state is not State.OPEN:
             return
@@ -187,7 +200,7 @@
     def over_unknown(self, call: str, front: Front, outcome: Outcome) -> None:
         """A server's release of an id not known here: a call set up before this program's start."""
         if call not in self.ended_ids:
-            self._remember(call)
+            self._remember(call, 0.0)
             front.over(call, -1, outcome)
 
     def cut(self, server: str, before_ms: float) -> None:
@@ -328,6 +341,8 @@
         request.attempt = None
         if outcome in UNCLEAN:
             request.not_before = now + self.rules.settings.release_guard_ms
+            if request.id in self.ended_ids:
+                self.ended_ids[request.id] = (now, request.not_before)
         self._feed(api.AttemptEnded(
             request.id, attempt.number, attempt.server, outcome, now - attempt.sent_at,
             request.state is not State.OPEN, note, wait_ms, report), request)
@@ -371,10 +386,10 @@
         request.state = State.OVER
         self.requests.free(request.slot)
         del self.by_id[request.id]
-        self._remember(request.id)
+        self._remember(request.id, request.not_before)
 
-    def _remember(self, call: str) -> None:
+    def _remember(self, call: str, not_before: float) -> None:
         now = self.clock.now()
-        self.ended_ids[call] = now
-        while self.ended_ids and next(iter(self.ended_ids.values())) < now - REMEMBER_MS:
+        self.ended_ids[call] = (now, not_before)
+        while self.ended_ids and next(iter(self.ended_ids.values()))[0] < now - REMEMBER_MS:
             self.ended_ids.popitem(last=False)
--- /dev/null
+++ b/frostport/diameter/front.py
@@ -0,0 +1,220 @@
+"""The Diameter front: clients are peers that connect here; a CCR-Initial is a set-up (RFC 8506)."""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+from dataclasses import dataclass, field
+
+from frostport import interface as api
+from frostport.core.broker import Body, Broker, Request, State
+from frostport.core.lifecycle import Lifecycle
+from frostport.diameter import avp
+from frostport.diameter.avp import Avp, Message, make
+from frostport.diameter.peer import Identity, Node, Peer, PeerConnection
+from frostport.interface import Outcome
+
+log = logging.getLogger("frostport.diameter.front")
+
+REMEMBER_MS = 60_000.0  # how long the answer to a set-up is kept for its duplicates
+LOSS_ALGORITHM = 1  # OLR_DEFAULT_ALGO (RFC 7683)
+HOST_REPORT = 0
+OWN = frozenset((entry.vendor, entry.code) for entry in (
+    avp.SESSION_ID, avp.ORIGIN_HOST, avp.ORIGIN_REALM, avp.ORIGIN_STATE_ID, avp.DESTINATION_HOST,
+    avp.DESTINATION_REALM, avp.AUTH_APPLICATION_ID, avp.SERVICE_CONTEXT_ID, avp.CC_REQUEST_TYPE,
+    avp.CC_REQUEST_NUMBER, avp.RESULT_CODE, avp.ROUTE_RECORD, avp.PROXY_INFO, avp.OC_SUPPORTED_FEATURES,
+    avp.OC_OLR, avp.ERROR_MESSAGE, avp.FAILED_AVP, avp.MAXIMUM_WAIT_TIME))
+
+
+def carried(message: Message) -> bytes:
+    """The AVPs that concern the service: they go on unchanged."""
+    return b"".join(found.encode() for found in message.avps if (found.vendor, found.code) not in OWN)
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """One call as its client sees it: who it is, what waits for the answer, and the answer once given."""
+
+    client: str
+    realm: str
+    heeds_overload: bool
+    waiting: list[tuple[PeerConnection, Message]] = field(default_factory=list)
+    answer: tuple[int, list[Avp]] | None = None
+
+
+class DiameterFront(Node):
+    """Takes credit-control requests from client peers, and answers each once."""
+
+    def __init__(self, broker: Broker, lifecycle: Lifecycle, identity: Identity, clients: list[str],
+                 numbers: dict[str, int], interval_ms: float, chance: random.Random) -> None:
+        super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
+        self.broker, self.lifecycle, self.numbers = broker, lifecycle, numbers
+        self.sessions: dict[str, Session] = {}
+        self.owed: dict[str, tuple[str, Outcome]] = {}  # releases not yet answered: client ("": any), outcome
+        self.aborts: dict[int, str] = {}  # hop-by-hop ids of releases on their way
+        self.sequence = int(broker.clock.now())
+        for host in clients:
+            self.add(Peer(host))
+
+    # From clients
+
+    def request(self, link: PeerConnection, message: Message) -> None:
+        if message.command != avp.CC:
+            link.reply(message, avp.COMMAND_UNSUPPORTED, error=f"command {message.command}")
+            return
+        match message.get(avp.CC_REQUEST_TYPE):
+            case avp.INITIAL:
+                self.initial(link, message)
+            case avp.TERMINATION:
+                self.terminate(link, message)
+            case avp.UPDATE | avp.EVENT:
+                self._answer(link, message, avp.UNABLE_TO_COMPLY, [], "this request type is not served here")
+            case _:
+                wrong = next(found for found in message.avps if found.code == avp.CC_REQUEST_TYPE.code)
+                link.reply(message, avp.INVALID_AVP_VALUE, error="CC-Request-Type", failed=wrong.encode())
+
+    def initial(self, link: PeerConnection, message: Message) -> None:
+        name = str(message.get(avp.SESSION_ID))
+        known = self.sessions.get(name)
+        if known is not None and known.client != link.host:
+            self._answer(link, message, avp.UNKNOWN_SESSION_ID, [], "the session is another client's")
+            return
+        if known is not None and known.answer is None:
+            known.waiting.append((link, message))  # a duplicate: it gets the same answer, with the first
+            return
+        if known is not None and known.answer is not None:
+            self._answer(link, message, *known.answer)
+            return
+        context = next(found for found in message.avps if found.code == avp.SERVICE_CONTEXT_ID.code)
+        cls = {cls.name: cls for cls in self.broker.rules.settings.classes}.get(
+            str(message.get(avp.SERVICE_CONTEXT_ID)).partition("@")[0])
+        if cls is None:
+            link.reply(message, avp.INVALID_AVP_VALUE, error="no such service", failed=context.encode())
+            return
+        if not self.lifecycle.takes():
+            self._answer(link, message, avp.TOO_BUSY, [], "going down")
+            return
+        wait = message.get(avp.MAXIMUM_WAIT_TIME)
+        left = cls.deadline_ms if wait is None else float(wait)
+        called = str(message.get(avp.CALLED_STATION_ID) or "")
+        features = message.get(avp.OC_SUPPORTED_FEATURES)
+        vector = avp.find(features, avp.OC_FEATURE_VECTOR) if features is not None else 0
+        self.sessions[name] = Session(
+            link.host, str(message.get(avp.ORIGIN_REALM)),
+            features is not None and bool((LOSS_ALGORITHM if vector is None else vector) & LOSS_ALGORITHM),
+            [(link, message)])
+        request = Request(name, cls.name, called, carried(message), self.clock.now() + left, self, link.slot)
+        self.broker.arrive(request, api.CallArrived(
+            name, cls.name, "-", left, self.numbers.get(str(message.get(avp.DESTINATION_HOST)), -1),
+            int.from_bytes(called.encode()[-6:], "big")))
+
+    def terminate(self, link: PeerConnection, message: Message) -> None:
+        name = str(message.get(avp.SESSION_ID))
+        request = self.broker.find(name)
+        known = self.sessions.get(name)
+        if known is not None and known.client != link.host:
+            self._answer(link, message, avp.UNKNOWN_SESSION_ID, [], "the session is another client's")
+            return
+        self.owed.pop(name, None)
+        if request is None:
+            self.broker.release_unknown(name)
+            self._answer(link, message, avp.UNKNOWN_SESSION_ID, [], "no such session")
+            return
+        if request.state is State.OPEN:
+            self.sessions.pop(name, None)  # given up: no answer is owed
+            self.broker.gone(request)
+        else:
+            self._forget(name)
+            self.broker.release(request)
+        self._answer(link, message, avp.SUCCESS, [])
+
+    def answer(self, link: PeerConnection, message: Message) -> None:
+        """A release was heard, whatever the client says of it."""
+        self.owed.pop(self.aborts.pop(message.hop_by_hop, ""), None)
+
+    def opened(self, link: PeerConnection) -> None:
+        super().opened(link)
+        for call, (client, outcome) in list(self.owed.items()):
+            if client in ("", link.host):
+                self._abort(call, client, outcome)
+
+    def lost(self, peer: Peer, link: PeerConnection) -> None:
+        """The set-ups that wait on a connection alone go with it."""
+        for name, session in list(self.sessions.items()):
+            if session.answer is None:
+                session.waiting = [(at, message) for at, message in session.waiting if at is not link]
+                request = self.broker.find(name)
+                if not session.waiting and request is not None:
+                    del self.sessions[name]
+                    self.broker.gone(request)
+
+    # From the broker
+
+    def stands(self, request: Request, description: Body) -> None:
+        assert isinstance(description, bytes)
+        self._final(request, avp.SUCCESS, avp.read_avps(description))
+
+    def refused(self, request: Request, stay_away_ms: float) -> None:
+        session = self.sessions.get(request.id)
+        advice = []
+        if session is not None and session.heeds_overload and stay_away_ms > 0.0:
+            self.sequence += 1
+            seconds = math.ceil(stay_away_ms / 1000.0)
+            advice = [
+                make(avp.OC_SUPPORTED_FEATURES, [make(avp.OC_FEATURE_VECTOR, LOSS_ALGORITHM)]),
+                make(avp.OC_OLR, [
+                    make(avp.OC_SEQUENCE_NUMBER, self.sequence), make(avp.OC_REPORT_TYPE, HOST_REPORT),
+                    make(avp.OC_REDUCTION_PERCENTAGE, 100), make(avp.OC_VALIDITY_DURATION, seconds)])]
+        self._final(request, avp.TOO_BUSY, advice)
+
+    def failed(self, request: Request) -> None:
+        self._final(request, avp.UNABLE_TO_COMPLY, [])
+
+    def over(self, call: str, place: int, outcome: Outcome) -> None:
+        session = self.sessions.get(call)
+        client = session.client if session is not None else ""
+        self._forget(call)
+        self.owed[call] = (client, outcome)
+        self._abort(call, client, outcome)
+
+    def _final(self, request: Request, result: int, avps: list[Avp]) -> None:
+        session = self.sessions.get(request.id)
+        if session is None:
+            return
+        session.answer = (result, avps)
+        for link, message in session.waiting:
+            self._answer(link, message, result, avps)
+        session.waiting = []
+        if result != avp.SUCCESS:
+            self._forget(request.id)
+
+    def _forget(self, call: str) -> None:
+        """The session's answer is kept a while for duplicates still on their way."""
+        session = self.sessions.get(call)
+        if session is not None:
+            self.deadlines.set(self.clock.now() + REMEMBER_MS, lambda: self._drop(call, session))
+
+    def _drop(self, call: str, session: Session) -> None:
+        if self.sessions.get(call) is session:
+            del self.sessions[call]
+
+    def _answer(self, link: PeerConnection, message: Message, result: int, avps: list[Avp],
+                error: str = "") -> None:
+        echoed = [found for found in message.avps if not found.vendor and found.code in (
+            avp.CC_REQUEST_TYPE.code, avp.CC_REQUEST_NUMBER.code)]
+        application = make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL)
+        link.reply(message, result, [application, *echoed, *avps], error)
+
+    def _abort(self, call: str, client: str, outcome: Outcome) -> None:
+        """Tells the client that its call is over; a client that isn't there hears it when it comes back."""
+        cause = avp.LOGOUT if outcome is Outcome.OK else avp.ADMINISTRATIVE
+        for peer in self.peers.values():
+            link = peer.open()
+            if link is not None and client in ("", peer.host):
+                hop = link.ask(avp.AS, [
+                    make(avp.SESSION_ID, call), *self.identity.avps(),
+                    make(avp.DESTINATION_REALM, link.realm), make(avp.DESTINATION_HOST, peer.host),
+                    make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL), make(avp.TERMINATION_CAUSE, cause),
+                ], avp.CREDIT_CONTROL)
+                self.aborts[hop] = call
--- /dev/null
+++ b/frostport/diameter/route.py
@@ -0,0 +1,226 @@
+"""The Diameter route: lobby servers are peers that are called from here, watched by their watchdogs."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+from twisted.internet import defer
+from twisted.python.failure import Failure
+
+from frostport import interface as api
+from frostport.config import DiameterServer
+from frostport.core.broker import Attempt, Broker, Front, State
+from frostport.core.deadlines import Deadline
+from frostport.diameter import avp
+from frostport.diameter.avp import Message, make
+from frostport.diameter.front import carried
+from frostport.diameter.peer import Identity, Node, Peer, PeerConnection
+from frostport.diameter.watchdog import Watch
+from frostport.interface import Lifecycle, ListKind, Outcome
+
+log = logging.getLogger("frostport.diameter.route")
+
+REDIAL_MS = 1000.0
+
+
+class ServerPeer(Peer):
+    """A lobby server: what is out on its connection, and what the module was told of it."""
+
+    def __init__(self, entry: DiameterServer) -> None:
+        super().__init__(entry.host)
+        self.entry = entry
+        self.out: dict[int, Attempt] = {}  # by hop-by-hop id
+        self.owed: list[str] = []  # sessions to be ended once it is back
+        self.told: Lifecycle | None = None
+        self.started_ms = 0.0
+        self.state_id: int | None = None
+        self.lost: Deadline | None = None
+
+
+class DiameterRoute(Node):
+    """Sets calls up at server peers. A peer that misses a watchdog is told to the module as draining."""
+
+    def __init__(self, broker: Broker, front: Front, identity: Identity, servers: list[DiameterServer],
+                 interval_ms: float, sessions_lost_ms: float, chance: random.Random,
+                 connect: Callable[[str, PeerConnection], defer.Deferred[object]]) -> None:
+        super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
+        self.broker, self.front, self.connect = broker, front, connect
+        self.sessions_lost_ms = sessions_lost_ms
+        self.servers: dict[str, ServerPeer] = {}
+        self.version = 0
+        self.ending = False
+        for entry in servers:
+            self.servers[entry.host] = ServerPeer(entry)
+            self.add(self.servers[entry.host])
+
+    def start(self) -> None:
+        self.broker.listed(ListKind.PERSISTED, self.version, [])  # each joins once it has been reached
+        for server in self.servers.values():
+            self.dial(server)
+
+    def dial(self, server: ServerPeer) -> None:
+        def failed(failure: Failure) -> None:
+            self._redial(server)
+
+        if server.link is None and not self.ending:
+            self.connect(server.entry.dial, self.connection(calling=True)).addErrback(failed)
+
+    def _redial(self, server: ServerPeer) -> None:
+        self.deadlines.set(self.clock.now() + REDIAL_MS, lambda: self.dial(server))
+
+    def tell(self, server: ServerPeer, state: Lifecycle) -> None:
+        """Changes the module's list, if this is a change."""
+        if server.told is state or (server.told is None and state is not Lifecycle.READY):
+            return
+        server.told = None if state is Lifecycle.GONE else state
+        self.version += 1
+        log.info("%s is told as %s", server.host, state.value)
+        self.broker.listed(ListKind.CHANGES, self.version, [api.Server(
+            server.host, server.entry.number, state, server.entry.zone, server.started_ms)])
+
+    # Peers
+
+    def opened(self, link: PeerConnection) -> None:
+        server = self.servers[link.host]
+        if server.lost is not None:
+            server.lost.cancel()
+        before, server.state_id = server.state_id, link.state_id
+        if before is not None and link.state_id is not None and link.state_id > before:
+            self.broker.cut(server.host, self.clock.now())  # the process is a new one: its sessions are gone
+            server.owed.clear()
+        super().opened(link)
+        owed, server.owed = server.owed, []
+        for call in owed:
+            self._end_session(server, call)
+
+    def watched(self, peer: Peer, before: Watch, after: Watch) -> None:
+        super().watched(peer, before, after)
+        server = self.servers[peer.host]
+        if after is Watch.OKAY:
+            if before is Watch.REOPEN:
+                server.started_ms = self.clock.now()  # back on a new connection: treated as cold
+            self.tell(server, Lifecycle.READY)
+        elif after in (Watch.SUSPECT, Watch.DOWN):
+            self.tell(server, Lifecycle.DRAINING)
+
+    def leaving(self, link: PeerConnection, cause: int) -> None:
+        log.info("%s: asks to disconnect, cause %d", link.host, cause)
+        self.tell(self.servers[link.host], Lifecycle.DRAINING)
+
+    def closed(self, link: PeerConnection) -> None:
+        super().closed(link)
+        if link.slot < 0 and not self.ending:  # it was never open: there is no peer to be lost
+            for server in self.servers.values():
+                if server.link is None:
+                    self._redial(server)
+
+    def lost(self, peer: Peer, link: PeerConnection) -> None:
+        server = self.servers[peer.host]
+        out, server.out = server.out, {}
+        self.tell(server, Lifecycle.DRAINING)
+        for attempt in out.values():
+            server.owed.append(attempt.request.id)  # it may have set the call up unheard
+            self.broker.ended(attempt, Outcome.RESET)
+        server.lost = self.deadlines.set(self.clock.now() + self.sessions_lost_ms, lambda: self._gone(server))
+        if not self.ending:
+            self._redial(server)
+
+    def _gone(self, server: ServerPeer) -> None:
+        """Away too long: what stood there is over towards its clients, and ended there when it is back."""
+        for request in self.broker.requests:
+            if request.state is State.STANDING and request.attempt is not None \
+                    and request.attempt.server == server.host:
+                server.owed.append(request.id)
+        self.broker.cut(server.host, self.clock.now())
+        self.tell(server, Lifecycle.GONE)
+
+    # From the broker
+
+    def send(self, attempt: Attempt) -> None:
+        server, request = self.servers[attempt.server], attempt.request
+        link = server.open()
+        if link is None:
+            self.broker.ended(attempt, Outcome.CONNECT_FAILED)
+            return
+        body = request.description
+        assert isinstance(body, bytes)
+        left = max(1, round(attempt.end_at - self.clock.now()))
+        attempt.link = link.ask(avp.CC, [
+            *self._head(server, request.id, avp.INITIAL, attempt.number),
+            make(avp.SERVICE_CONTEXT_ID, f"{request.call_class}@{self.identity.realm}"),
+            make(avp.MAXIMUM_WAIT_TIME, left), *avp.read_avps(body)], avp.CREDIT_CONTROL)
+        server.out[attempt.link] = attempt
+
+    def _head(self, server: ServerPeer, call: str, kind: int, number: int) -> list[avp.Avp]:
+        link = server.open()
+        return [make(avp.SESSION_ID, call), *self.identity.avps(),
+                make(avp.DESTINATION_REALM, link.realm if link is not None else ""),
+                make(avp.DESTINATION_HOST, server.host),
+                make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
+                make(avp.CC_REQUEST_TYPE, kind), make(avp.CC_REQUEST_NUMBER, number)]
+
+    def _end_session(self, server: ServerPeer, call: str) -> None:
+        link = server.open()
+        if link is None:
+            server.owed.append(call)
+        else:
+            last = self.broker.rules.settings.try_limit
+            link.ask(avp.CC, [
+                *self._head(server, call, avp.TERMINATION, last),
+                make(avp.SERVICE_CONTEXT_ID, f"release@{self.identity.realm}")], avp.CREDIT_CONTROL)
+
+    def give_up(self, attempt: Attempt) -> None:
+        server = self.servers[attempt.server]
+        if attempt.link is not None and server.out.pop(attempt.link, None) is attempt:
+            self._end_session(server, attempt.request.id)
+
+    def release(self, attempt: Attempt) -> None:
+        self._end_session(self.servers[attempt.server], attempt.request.id)
+
+    def release_unknown(self, call: str) -> None:
+        for server in self.servers.values():
+            if server.open() is not None:
+                self._end_session(server, call)
+
+    def probe(self, server: str, number: int) -> None:
+        self.broker.probed(number, Outcome.NOT_SENT)  # the watchdog is all that tests a peer
+
+    # From servers
+
+    def answer(self, link: PeerConnection, message: Message) -> None:
+        result = message.get(avp.RESULT_CODE)
+        attempt = self.servers[link.host].out.pop(message.hop_by_hop, None)
+        if attempt is None:
+            return  # the answer to a release, or late: its session was ended when it was given up
+        match result:
+            case avp.SUCCESS:
+                self.broker.stood(attempt, carried(message))
+            case avp.TOO_BUSY:
+                self.broker.ended(attempt, Outcome.FULL, api.NOTE_PROCESSOR_FULL)
+            case _:
+                self.broker.ended(attempt, Outcome.ERROR)
+
+    def request(self, link: PeerConnection, message: Message) -> None:
+        """A server ends a call."""
+        if message.command != avp.AS:
+            link.reply(message, avp.COMMAND_UNSUPPORTED, error=f"command {message.command}")
+            return
+        name = str(message.get(avp.SESSION_ID))
+        cause = message.get(avp.TERMINATION_CAUSE)
+        outcome = Outcome.OK if cause in (None, avp.LOGOUT) else Outcome.RESET
+        request = self.broker.find(name)
+        attempt = request.attempt if request is not None else None
+        if request is None:
+            fresh = name not in self.broker.ended_ids
+            self.broker.over_unknown(name, self.front, outcome)
+            link.reply(message, avp.SUCCESS if fresh else avp.UNKNOWN_SESSION_ID)
+        elif attempt is None or attempt.server != link.host:
+            link.reply(message, avp.UNKNOWN_SESSION_ID)
+        else:
+            link.reply(message, avp.SUCCESS)
+            if request.state is State.OPEN and attempt.link is not None:
+                self.servers[link.host].out.pop(attempt.link, None)
+                outcome = Outcome.RESET
+            self.broker.ended(attempt, outcome)
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -5,11 +5,8 @@
 import logging
 import math
 
-from twisted.internet import protocol
-from twisted.internet.interfaces import IAddress
-
 from frostport import interface as api
-from frostport.core.broker import Broker, Request, State
+from frostport.core.broker import Body, Broker, Request, State
 from frostport.core.lifecycle import Lifecycle
 from frostport.core.slots import Slots
 from frostport.interface import Outcome
@@ -137,8 +134,8 @@
         if connection is not None:
             connection.say(message)
 
-    def stands(self, request: Request, description: str) -> None:
-        self._say(request, Message("STARTED", request.id, blob=description))
+    def stands(self, request: Request, description: Body) -> None:
+        self._say(request, Message("STARTED", request.id, blob=str(description)))
 
     def refused(self, request: Request, stay_away_ms: float) -> None:
         # The platform's refusal has no field for a time to come back.
@@ -165,15 +162,3 @@
             self.owed[tag] = (cause, since, connection.slot)
         self.owed = {tag: owed for tag, owed in self.owed.items()
                      if owed[2] < 0 or now - owed[1] < REPEAT_MS}
-
-
-class FrontFactory(protocol.Factory):
-    """Hands each accepted connection to the front."""
-
-    noisy = False
-
-    def __init__(self, front: PlatformFront) -> None:
-        self.front = front
-
-    def buildProtocol(self, addr: IAddress | None) -> protocol.Protocol | None:  # noqa: N802
-        return self.front.build()
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -170,7 +170,7 @@
         opts = {"class": request.call_class, "left": str(left)}
         if request.key:
             opts["key"] = request.key
-        connection.say(Message("START", request.id, opts, blob=request.description))
+        connection.say(Message("START", request.id, opts, blob=str(request.description)))
 
     def give_up(self, attempt: Attempt) -> None:
         if attempt in self.waiting:
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,299 @@
+"""A small language for scenarios, played on a set clock over in-memory transports.
+
+A line is one step:
+    send WHO MESSAGE      WHO says it (a client or event bus connects first; `bus`, `agent`: see below)
+    expect WHO MESSAGE    the next thing that WHO hears matches it, field by field; `nothing`, `closed`
+    close WHO [HOW]       WHO breaks its connection; `dead` also refuses new ones, `silent` lets all hang
+    wait MS               time passes
+
+WHO: c1, c2 (clients), s0, s1 (lobby servers), bus, p1 (a peer's datagrams), agent (`term`; `exit`, `phase`,
+`stopped N` for the sends that the rules stopped), and for servers `send s0 alive`, `mute`, `unmute`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any, ClassVar
+
+import orjson
+from twisted.internet import error
+from twisted.python.failure import Failure
+
+from frostport import config
+from frostport.agent import Agent
+from frostport.core.clock import SetClock
+from frostport.core.lifecycle import Phase
+from frostport.net import jsonl
+
+START_MS = 1_800_000_000_000.0
+Heard = dict[str, str]
+
+
+def failure(kind: Any) -> Any:
+    made: Any = Failure
+    return made(kind())
+
+
+class Wire:
+    """One end of a connection; what is written reaches the other end once the writer is done."""
+
+    def __init__(self, world: World, protocol: Any) -> None:
+        self.world, self.protocol, self.open = world, protocol, True
+        self.other: Wire | None = None
+
+    def write(self, data: bytes) -> None:
+        other = self.other
+        if self.open and other is not None:
+            self.world.later.append(lambda: other.protocol.dataReceived(data) if other.open else None)
+
+    def loseConnection(self) -> None:  # noqa: N802 (Twisted's name)
+        for end in (self, self.other):
+            if end is not None and end.open:
+                end.open = False
+                self.world.later.append(partial(end.protocol.connectionLost, failure(error.ConnectionLost)))
+
+    abortConnection = loseConnection  # noqa: N815
+
+
+class Reactor:
+    """As much of a reactor as the agent asks for."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.stopped = world, False
+        self.factory: Any = None
+        self.udp: Any = None
+
+    def callLater(self, delay: float, action: Callable[[], None]) -> Any:  # noqa: N802
+        return type("Call", (), {"active": lambda self: False})()  # the world runs the deadlines itself
+
+    def listenTCP(self, port: int, factory: Any, **more: Any) -> Reactor:  # noqa: N802
+        self.factory = factory
+        return self
+
+    def listenUDP(self, port: int, protocol: Any, **more: Any) -> None:  # noqa: N802
+        self.udp = protocol
+        protocol.transport = self.world.actors["p1"]
+
+    def connectTCP(self, host: str, port: int, factory: Any, **more: Any) -> Any:  # noqa: N802
+        self.world.later.append(lambda: self.world.dialed(f"{host}:{port}", factory))
+        return type("Connector", (), {"stopConnecting": lambda self: factory.clientConnectionFailed(
+            self, failure(error.UserError))})()
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.factory = None
+
+    def stop(self) -> None:
+        self.stopped = True
+
+
+class Actor:
+    """A scripted party that speaks JSON lines; other codecs override the two translations."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.wire: Wire | None = None
+        self.inbox: list[Heard] = []
+        self.state = "alive"
+        self.lines = jsonl.Lines()
+
+    # As the protocol of its end of a connection
+
+    def connect(self, wire: Wire) -> None:
+        self.wire, self.lines = wire, jsonl.Lines()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        for line, _ in self.lines.feed(data):
+            self.inbox.append(self.read(line))
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        if self.wire is not None and not self.wire.open:
+            self.wire = None
+        self.inbox.append({"": "closed"})
+
+    def read(self, line: bytes) -> Heard:
+        if line.startswith(b"from"):
+            return {"": line.decode()}
+        message = jsonl.decode(line)
+        heard = {"": message.verb, "tag": message.tag.lstrip("0"), **message.opts}
+        heard.update({} if message.rc is None else {"rc": str(message.rc)})
+        return {**heard, **({} if message.blob is None else {"blob": message.blob})}
+
+    def encode(self, text: str) -> bytes:
+        if text.startswith("raw "):
+            return text[4:].encode().decode("unicode_escape").encode("latin-1")
+        verb, _, rest = text.partition(" ")
+        if verb.startswith("{") or verb.isdigit():
+            return text.encode() + b"\n"
+        tag, _, rest = rest.partition(" ")
+        opts = dict(pair.split("=", 1) for pair in rest.split())
+        rc, blob = opts.pop("rc", None), opts.pop("blob", None)
+        return jsonl.Message(verb, tag.zfill(16), opts, None if rc is None else int(rc), blob).encode()
+
+    def send(self, text: str) -> None:
+        if text in ("alive", "mute", "unmute"):
+            self.state = text
+            return
+        data = self.encode(text)
+        if self.wire is None:
+            self.world.accept(self)
+        assert self.wire is not None, f"{self.name} has no connection"
+        self.wire.write(data)
+
+    def write(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """The agent's datagrams come here."""
+        self.inbox.append({"": datagram.hex(), "to": f"{address[0]}:{address[1]}"})
+
+    def matches(self, heard: Heard, text: str) -> bool:
+        verb, _, rest = text.partition(" ")
+        tag = ""
+        if rest and "=" not in rest.split(" ")[0]:
+            tag, _, rest = rest.partition(" ")
+        wanted = dict(pair.split("=", 1) for pair in rest.split())
+        return (heard[""] in (verb, text) and (heard[""] == text or not tag or heard.get("tag") == tag)
+                and all(heard.get(key) == value for key, value in wanted.items()))
+
+    def unasked(self, heard: Heard) -> bool:
+        """What may be passed over where it is not asked for."""
+        return heard[""] == "FINISHED"
+
+    def expect(self, text: str) -> None:
+        while self.inbox and self.unasked(self.inbox[0]) and not self.matches(self.inbox[0], text):
+            self.inbox.pop(0)
+        if text == "nothing":
+            assert not self.inbox, f"{self.name} heard {self.inbox}"
+            return
+        assert self.inbox, f"{self.name} heard nothing, not {text}"
+        assert self.matches(self.inbox[0], text), f"{self.name} heard {self.inbox[0]}, not {text}"
+        self.inbox.pop(0)
+
+    def close(self, how: str) -> None:
+        self.state = how or self.state
+        if self.wire is not None and how != "silent":
+            wire, self.wire = self.wire, None
+            wire.protocol = type("Nobody", (), {"connectionLost": lambda self, reason: None})()
+            wire.loseConnection()
+
+
+class World:
+    """The agent, its clock and all that it talks to."""
+
+    actor: type[Actor] = Actor
+    addresses: ClassVar = {"10.0.0.1:1": "s0", "10.0.0.2:1": "s1", "10.0.1.1:1": "bus"}
+
+    def __init__(self, record: dict[str, Any]) -> None:
+        self.clock = SetClock(START_MS)
+        self.later: list[Callable[[], Any]] = []
+        self.actors = {name: self.actor(self, name) for name in ("c1", "c2", "s0", "s1", "bus", "p1")}
+        self.reactor = Reactor(self)
+        self.agent = Agent(config.read(record), self.reactor, self.clock)
+        self.agent.start()
+        self.settle()
+
+    def settle(self) -> None:
+        while self.later:
+            self.later.pop(0)()
+            self.agent.deadlines.run(self.clock.now())
+
+    def join(self, actor: Actor, protocol: Any) -> None:
+        ours, theirs = Wire(self, protocol), Wire(self, actor)
+        ours.other, theirs.other = theirs, ours
+        actor.connect(theirs)
+        protocol.makeConnection(ours)
+
+    def accept(self, actor: Actor) -> None:
+        assert self.reactor.factory is not None, "nobody listens"
+        self.join(actor, self.reactor.factory.buildProtocol(None))
+
+    def dialed(self, address: str, factory: Any) -> None:
+        actor = self.actors[self.addresses[address]]
+        if actor.state == "dead":
+            factory.clientConnectionFailed(None, failure(error.ConnectionRefusedError))
+        elif actor.state != "silent":
+            self.join(actor, factory.buildProtocol(None))
+
+    def wait(self, ms: float) -> None:
+        end = self.clock.at + ms
+        while (at := self.agent.deadlines.next_ms()) is not None and at <= end:
+            self.clock.at = max(self.clock.at, at)
+            self.agent.deadlines.run(self.clock.now())
+            self.settle()
+        self.clock.at = end
+
+    def step(self, line: str) -> None:
+        verb, who, rest = (*line.split(" ", 2), "")[:3]
+        match verb, who:
+            case "wait", _:
+                self.wait(float(who))
+            case "send", "agent":
+                self.agent.terminate()
+            case "expect", "agent":
+                told = {"exit": self.agent.lifecycle.phase is Phase.STOPPED and self.reactor.stopped,
+                        f"phase {self.agent.lifecycle.phase.value}": True,
+                        f"stopped {self.agent.rules.stopped.total()}": True,
+                        f"open {self.agent.broker.open}": True}
+                assert told.get(rest), f"agent is in {told}"
+            case "send", "p1":
+                self.reactor.udp.datagramReceived(bytes.fromhex(rest), ("10.0.2.2", 1))
+            case "send", _:
+                self.actors[who].send(rest)
+            case "expect", _:
+                self.actors[who].expect(rest)
+            case "close", _:
+                self.actors[who].close(rest)
+            case _:
+                raise ValueError(f"no such step: {line}")
+        self.settle()
+
+
+def lines(script: str) -> Iterator[tuple[int, str]]:
+    for number, line in enumerate(script.strip().split("\n"), start=1):
+        if line.strip() and not line.strip().startswith("#"):
+            yield number, line.strip()
+
+
+def play(script: str, record: dict[str, Any], world: type[World] = World) -> World:
+    """Plays a scenario; unless it says otherwise, the rules have stopped no send."""
+    made = world(record)
+    for number, line in lines(script):
+        try:
+            made.step(line)
+        except AssertionError as problem:
+            raise AssertionError(f"step {number}: {line}: {problem}") from None
+    if "expect agent stopped" not in script:
+        assert made.agent.rules.stopped.total() == 0
+    slots = {request.slot for request in made.agent.broker.requests}
+    assert slots == set(made.agent.broker.by_id.values())
+    return made
+
+
+def host(number: int, health: str = "ready", born: float = 0.0, dial: int | None = None,
+         name: str = "") -> dict[str, Any]:
+    at = f"10.0.0.{(number if dial is None else dial) + 1}:1"
+    return {"host": name or f"h{number}", "dial": at, "site": "east", "class": "std", "block": number,
+            "health": health, "share": 4, "born_ms": born}
+
+
+def event(offset: int, *hosts: dict[str, Any], whole: bool = False) -> str:
+    return orjson.dumps({"offset": offset, "topology": {
+        "seq": offset, "whole": whole, "hosts": list(hosts)}}).decode()
+
+
+SETTINGS: dict[str, Any] = {
+    "services": [{"name": "race", "aim-ms": 1500.0, "deadline-ms": 9000.0, "late-worth": 0.1}],
+    "caps": {"try-limit": 4, "may-cancel": True, "connect-timeout-ms": 500.0, "peers": False,
+             "probes": False, "retry-after": False},
+    "family-info": {"topology": "pools", "pools-by-class": [[0, 1]], "holding-ms": [9000.0],
+                    "release-guard-ms": 500.0, "retransmit-ms": 400.0},
+    "report": {"columns": ["free", "size", "can_take"]}, "me": 0, "siblings": 2,
+    "rules": {"drain-grace-ms": 2000.0, "cold-from": 0.34, "cold-ms": 15000.0, "fall-multiple": 3.0,
+              "fall-ms": 2000.0}}
+
+
+def platform(**caps: Any) -> dict[str, Any]:
+    """A configuration of the platform's form, with some `caps` changed."""
+    return {"name": "n0", "listen": "10.0.9.1:1", "seed": "0a", "limits": {"sockets": 64},
+            "bus": "10.0.1.1:1",
+            "peer_listen": "10.0.9.1:2", "peers": ["10.0.2.1:1", "10.0.2.2:1"],
+            "known": {"offset": 1, "batch": [orjson.loads(event(1, host(0), host(1), whole=True))]},
+            "settings": {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}}}
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,341 @@
+"""Scenarios on the platform's port: clients, lobby servers, the event bus, peers, the end of the program."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scenario import START_MS, event, host, platform, play
+
+SET_UP = """
+    send c1 START a class=race left=3000 key=07 extras=dest:0;width:1;via:-1 blob=sdp
+    expect s0 START a class=race left=3000 key=07 blob=sdp
+"""
+STANDS = SET_UP + """
+    send s0 STARTED a blob=answer
+    expect c1 STARTED a blob=answer
+"""
+SCENARIOS = {
+    "a call stands and comes to its end": STANDS + """
+        wait 800
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+        expect s0 FINISHED a
+        expect c1 nothing
+        expect s0 nothing
+    """,
+    "a call that is cut": STANDS + """
+        send s0 FINISH a rc=41
+        expect c1 FINISH a rc=41
+    """,
+    "a client ends its call on another connection": STANDS + """
+        send c2 FINISH a rc=16
+        expect c2 FINISHED a
+        expect s0 FINISH a rc=16
+        send s0 FINISHED a
+        expect c1 nothing
+    """,
+    "a full server: the other is tried at once": SET_UP + """
+        send s0 FINISH a rc=34 note=swamped load=x0:3;x1:9;qps:5
+        expect s1 START a
+        send s1 STARTED a blob=other
+        expect c1 STARTED a blob=other
+    """,
+    "moot and faulty attempts go on too": SET_UP + """
+        send s0 FINISH a rc=102
+        expect s0 START a
+        send s0 FINISH a rc=47
+        expect s0 START a
+        send s0 FINISH a rc=17 note=occupied
+        expect c1 nothing
+        wait 600
+        expect s0 START a
+        send s0 FINISH a rc=47
+        expect c1 FINISH a rc=41
+    """,
+    "a reset awaits the release": SET_UP + """
+        send s0 FINISH a rc=41
+        wait 499
+        expect s0 nothing
+        expect s1 nothing
+        wait 60
+        expect s0 START a blob=sdp
+    """,
+    "time runs out: one answer at once, and the set-up is given up": SET_UP + """
+        wait 2999
+        expect c1 nothing
+        wait 2
+        expect s0 FINISH a rc=16
+        expect c1 FINISH a rc=41
+        send c1 FINISH a rc=16
+        expect c1 FINISHED a
+        expect c1 nothing
+        expect s0 nothing
+    """,
+    "a give-up reaches the server": SET_UP + """
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        expect c1 FINISHED a
+        expect c1 nothing
+    """,
+    "an answer that crosses a give-up is released": SET_UP + """
+        send c1 FINISH a rc=16
+        send s0 STARTED a blob=late
+        expect s0 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        expect c1 FINISHED a
+        expect c1 nothing
+    """,
+    "a give-up that crosses the answer releases the call": STANDS + """
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        expect c1 nothing
+    """,
+    "open set-ups go with their connection": SET_UP + """
+        close c1
+        expect s0 FINISH a rc=16
+        expect agent open 0
+    """,
+    "a set-up that comes again on a new connection awaits its release": SET_UP + """
+        close c1
+        expect s0 FINISH a rc=16
+        send c1 START a class=race left=2900 extras=dest:0
+        expect s0 nothing
+        wait 499
+        expect s0 nothing
+        wait 2
+        expect s0 START a
+        send s0 STARTED a blob=now
+        expect c1 STARTED a blob=now
+    """,
+    "a release goes to another connection when the call's own is gone": STANDS + """
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1 rc=1
+        close c1
+        send s0 FINISH a rc=16
+        expect c2 FINISH a rc=16
+    """,
+    "a release owed with no connection open goes to the next": STANDS + """
+        close c1
+        send s0 FINISH a rc=16
+        wait 5000
+        send c2 ECHO 1 rc=0
+        expect c2 FINISH a rc=16
+    """,
+    "a release not heard before its connection broke is sent again; one heard is not": STANDS + """
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+        close c1
+        send c2 ECHO 1 rc=0
+        expect c2 FINISH a rc=16
+        send c2 FINISHED a
+        close c2
+        send c1 ECHO 1 rc=0
+        expect c1 ECHOED 1
+        expect c1 nothing
+    """,
+    "a server repeats its release on the next connection": STANDS + """
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+        close s0
+        wait 1
+        send s0 FINISH a rc=16
+        expect s0 FINISHED a
+        expect s0 FINISHED a
+        expect c1 nothing
+    """,
+    "a broken connection resets its set-ups and leaves what stands": STANDS + """
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        close s0
+        expect c1 nothing
+        wait 560
+        expect s0 START b
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+    """,
+    "a process that died: refused, so what stood there is over": STANDS + """
+        close s0 dead
+        expect c1 FINISH a rc=41
+    """,
+    "a refused connect sends the call on at once": """
+        close s0 dead
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s1 START a
+    """,
+    "a connect that hangs counts as refused after its time, and cuts nothing": STANDS + """
+        close s0
+        close s0 silent
+        wait 1
+        close s1 silent
+        wait 501
+        expect c1 nothing
+    """,
+    "a client's release with the server away goes out on the next connection": STANDS + """
+        close s0 silent
+        send s0 alive
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+    """,
+    "after a restart, releases of unknown calls are passed on both ways": """
+        send s0 FINISH a rc=16
+        expect s0 FINISHED a
+        expect c1 nothing
+        send c1 ECHO 1 rc=0
+        expect c1 FINISH a rc=16
+        expect c1 ECHOED 1
+        send c1 FINISH b rc=16
+        expect s0 FINISH b rc=16
+        expect s1 FINISH b rc=16
+        send c1 FINISH b rc=16
+        expect s0 nothing
+    """,
+    "split lines, two in one, an empty one": """
+        send c1 raw {"verb":"EC
+        send c1 raw HO","tag":"0000000000000001","opts":{}}\\n\\n{"verb":"ECHO","tag":"0000000000000002"}\\n
+        expect c1 ECHOED 1 rc=1
+        expect c1 ECHOED 2 rc=1
+    """,
+    "malformed lines cost themselves only; a readable set-up is refused": SET_UP + """
+        send c1 raw nonsense\\n
+        send c1 raw [1]\\n
+        send c1 raw {"verb":"START","tag":"000000000000000b","opts":{"class":[]}}\\n
+        expect c1 FINISH b rc=42
+        send c1 START c class=unheard left=3000
+        expect c1 FINISH c rc=42
+        send c1 START d class=race left=soon
+        expect c1 FINISH d rc=42
+        send c1 START e class=race left=3000 key=zz
+        expect c1 FINISH e rc=42
+        send c1 raw {"verb":"START","tag":"00000000000000
+        send c1 raw 0f","opts":{"class":"race","left":1},"x":"
+        send c1 raw """ + "y" * 17000 + """
+        expect c1 FINISH f rc=42
+        send c1 raw more of it"}\\n
+        send s0 raw junk\\n
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a blob=answer
+        expect c1 nothing
+    """,
+    "the same set-up twice is one call": SET_UP + """
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 nothing
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        expect c1 nothing
+    """,
+    "nothing goes to a draining server, and its calls live on": STANDS + f"""
+        expect bus from 1
+        send bus {event(2, host(0, "draining"))}
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s1 START b
+        send s0 FINISH a rc=41
+        expect c1 FINISH a rc=41
+    """,
+    "a server that is gone takes its calls and set-ups with it": STANDS + f"""
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        send bus {event(2, host(0, "gone"))}
+        expect c1 FINISH a rc=41
+        expect s0 closed
+        wait 560
+        expect s1 START b
+    """,
+    "a whole list without a server removes it": STANDS + f"""
+        send bus {event(2, host(1), whole=True)}
+        expect c1 FINISH a rc=41
+        expect s0 closed
+    """,
+    "a restarted process: what stood before is over, the old connection dropped": STANDS + f"""
+        wait 1000
+        send bus {event(2, host(0, born=START_MS + 500))}
+        expect c1 FINISH a rc=41
+        expect s0 closed
+    """,
+    "a new server at the address of a gone one": STANDS + f"""
+        send bus {event(2, host(0, "gone"), host(2, dial=0, name="h9"))}
+        expect c1 FINISH a rc=41
+        expect s0 closed
+    """,
+    "the event bus breaks: asked again from the last event, repeats are passed over": f"""
+        expect bus from 1
+        send bus {event(2, host(0, "draining"))}
+        close bus
+        wait 200
+        expect bus from 2
+        send bus {event(2, host(0, "gone"))}
+        send bus 2
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s1 START a
+        expect s0 nothing
+    """,
+    "a silent event bus is dialed anew": """
+        expect bus from 1
+        wait 2900
+        send bus 1
+        wait 2900
+        expect bus nothing
+        wait 400
+        expect bus closed
+        expect bus from 1
+    """,
+    "sigterm: serves on, answers all, exits": SET_UP + """
+        send agent term
+        expect agent phase closing
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1 rc=0
+        send c2 START b class=race left=2000 extras=dest:1
+        expect s1 START b
+        wait 1000
+        expect agent phase draining
+        send c2 START c class=race left=2000 extras=dest:1
+        expect c2 FINISH c rc=42
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        wait 100
+        expect agent phase draining
+        send s1 STARTED b blob=answer
+        expect c2 STARTED b
+        wait 60
+        expect agent exit
+    """,
+    "sigterm: what is open near the end is failed": """
+        send c1 START a class=race left=9000 extras=dest:0
+        expect s0 START a
+        send agent term
+        wait 3400
+        expect c1 nothing
+        wait 101
+        expect c1 FINISH a rc=41
+        expect s0 FINISH a rc=16
+        wait 60
+        expect agent exit
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name: str) -> None:
+    play(SCENARIOS[name], platform())
+
+
+def test_probes_are_answered_late_or_never() -> None:
+    world = play("""
+        wait 1200
+    """, platform(probes=True))
+    asked = [heard for name in ("s0", "s1") for heard in world.actors[name].inbox]
+    assert asked and all(heard[""] == "ECHO" and heard["rc"] == "1" for heard in asked)
+
+
+def test_an_exception_in_one_call_fails_that_call() -> None:
+    world = play("expect c1 nothing", platform())
+    real = world.agent.broker.module.handle
+
+    def handle(given: object, now: float) -> list[object]:
+        if getattr(given, "call", "").endswith("a"):
+            raise RuntimeError("a fault of the module")
+        return real(given, now)  # type: ignore[arg-type, return-value]
+
+    world.agent.broker.module.handle = handle  # type: ignore[method-assign, assignment]
+    for line in ("send c1 START a class=race left=3000", "expect c1 FINISH a rc=41",
+                 "send c1 START b class=race left=3000 extras=dest:0", "expect s0 START b"):
+        world.step(line)
