Prove the Diameter front with scripted stand-ins and an audit of what they saw

Stand-ins follow a script (watchdogs dropped, late answers, goodbyes, cold returns, duplicates); an audit reads their log, not the agent's, for two attempts out, early resends, sends to drained peers and second final answers. A test shows that the audit does see each of these. Found: Failed-AVP was read as a group, though what it holds is malformed by design (avp.py, FAILED_AVP); it is now opaque.

--- a/frostport/diameter/avp.py
+++ b/frostport/diameter/avp.py
@@ -73,7 +73,7 @@
 FIRMWARE_REVISION = Definition("Firmware-Revision", 267, Kind.UNSIGNED32, mandatory=False)
 RESULT_CODE = Definition("Result-Code", 268, Kind.UNSIGNED32)
 ERROR_MESSAGE = Definition("Error-Message", 281, Kind.TEXT, mandatory=False)
-FAILED_AVP = Definition("Failed-AVP", 279, Kind.GROUPED)
+FAILED_AVP = Definition("Failed-AVP", 279, Kind.OCTETS)  # a group, not read: it holds what is malformed
 ROUTE_RECORD = Definition("Route-Record", 282, Kind.TEXT)
 PROXY_INFO = Definition("Proxy-Info", 284, Kind.GROUPED)
 DISCONNECT_CAUSE = Definition("Disconnect-Cause", 273, Kind.ENUMERATED)
--- /dev/null
+++ b/tests/diameter.py
@@ -0,0 +1,200 @@
+"""Stand-ins that speak Diameter for the scenario language, and the audit of what they saw.
+
+Messages are written as NAME SESSION field=value: CCR-I, CCR-T, CCA (with `result`), ASR, ASA, CER, DWR, DPR.
+A stand-in exchanges capabilities by itself and answers watchdogs; `mute` drops them, `unmute` answers again,
+`bare` leaves the capabilities to the script, and `state=N` is its next Origin-State-Id.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from frostport.diameter import avp
+from frostport.diameter.avp import Avp, Frames, Message, make
+from tests.scenario import SETTINGS, Actor, Heard, Wire, World
+
+NAMES = {avp.CE: "CE", avp.CC: "CC", avp.AS: "AS", avp.DW: "DW", avp.DP: "DP"}
+KINDS = {avp.INITIAL: "-I", avp.UPDATE: "-U", avp.TERMINATION: "-T", avp.EVENT: "-E"}
+SHOWN = {"result": avp.RESULT_CODE, "wait": avp.MAXIMUM_WAIT_TIME, "key": avp.CALLED_STATION_ID,
+         "cause": avp.TERMINATION_CAUSE, "why": avp.DISCONNECT_CAUSE, "svc": avp.SERVICE_CONTEXT_ID}
+
+
+def config(**caps: Any) -> dict[str, Any]:
+    return {"name": "n0", "listen": "127.0.0.1:1", "seed": "0a",
+            "settings": {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}},
+            "diameter": {"host": "n0", "realm": "here", "clients": ["c1", "c2"], "watchdog_ms": 6000,
+                         "servers": [{"host": f"s{n}", "dial": f"10.0.0.{n + 1}:1", "number": n}
+                                     for n in (0, 1)]}}
+
+
+class DiameterActor(Actor):
+    """A client or a lobby server."""
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__(world, name)
+        self.frames, self.ids = Frames(), 0
+        self.asked: dict[tuple[str, str], Message] = {}
+        self.bare, self.state_id = False, 1
+
+    def connect(self, wire: Wire) -> None:
+        self.wire, self.frames = wire, Frames()
+        if self.name.startswith("c") and not self.bare:
+            self.send("CER")
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        for frame in self.frames.feed(data):
+            message = avp.read_header(frame)
+            message.avps = avp.read_avps(frame[avp.HEADER:])
+            heard = self.show(message)
+            note(self, "hears", heard)
+            if message.is_request:
+                self.asked[heard[""], heard["tag"]] = message
+            if heard[""] == "CER" and not self.bare:
+                self.send("CEA result=2001")
+            elif heard[""] == "DWR":
+                if self.state != "mute":
+                    self.send("DWA result=2001")
+            elif heard[""] == "DPR":
+                self.send("DPA result=2001")
+            elif heard[""] not in ("DWA", "CCA-T") and (heard[""] != "CEA" or self.bare):
+                self.inbox.append(heard)
+
+    def show(self, message: Message) -> Heard:
+        kind = KINDS.get(message.get(avp.CC_REQUEST_TYPE), "") if message.command == avp.CC else ""
+        way = "R" if message.is_request else "A"
+        heard = {"": f"{NAMES.get(message.command, message.command)}{way}{kind}",
+                 "tag": message.get(avp.SESSION_ID) or ""}
+        for name, definition in SHOWN.items():
+            value = message.get(definition)
+            heard.update({} if value is None else {name: str(value)})
+        heard["error"] = str(int(bool(message.flags & avp.ERROR)))
+        failed = message.get(avp.FAILED_AVP)
+        report = message.get(avp.OC_OLR)
+        if failed:
+            length = int.from_bytes(failed[5:8], "big")
+            heard["failed"] = f"{int.from_bytes(failed[:4], 'big')}:{failed[8:length].hex()}"
+        if report:
+            heard["back"] = str(avp.find(report, avp.OC_VALIDITY_DURATION))
+        return heard
+
+    def encode(self, text: str) -> bytes:
+        if text.startswith("raw "):
+            return bytes.fromhex(text[4:])
+        name, *rest = text.split()
+        session = rest.pop(0) if rest and "=" not in rest[0] else ""
+        given = dict(pair.split("=", 1) for pair in rest)
+        note(self, "says", {"": name, "tag": session, **given})
+        avps = [make(avp.ORIGIN_HOST, given.get("host", self.name)), make(avp.ORIGIN_REALM, "there")]
+        if session:
+            avps.insert(0, make(avp.SESSION_ID, session))
+        if name[:2] == "CE":
+            application = int(given.get("app", avp.CREDIT_CONTROL))
+            avps += [make(avp.HOST_IP_ADDRESS, b"\0\1\x7f\0\0\1"), make(avp.VENDOR_ID, 0),
+                     make(avp.PRODUCT_NAME, "stand-in"), make(avp.AUTH_APPLICATION_ID, application)]
+        if name[:2] in ("CE", "DW"):
+            avps.append(make(avp.ORIGIN_STATE_ID, self.state_id))
+        if name[2] == "A":
+            return self.answer(name, session, given, avps)
+        if name[:2] in ("CC", "AS"):
+            avps += [make(avp.DESTINATION_REALM, "here"), make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL)]
+        if name[:2] == "AS":
+            avps.append(make(avp.DESTINATION_HOST, "n0"))
+        if name[:2] == "CC":
+            kind = next(code for code, ending in KINDS.items() if ending == name[3:])
+            avps += [make(avp.SERVICE_CONTEXT_ID, given.get("svc", "race@there")),
+                     make(avp.CC_REQUEST_TYPE, kind), make(avp.CC_REQUEST_NUMBER, 0)]
+            avps += [make(avp.DESTINATION_HOST, given["dest"])] if "dest" in given else []
+            avps += [make(avp.OC_SUPPORTED_FEATURES, [])] if "oc" in given else []
+        for field, definition in SHOWN.items():
+            if field in given and field != "svc":
+                number = definition.kind is not avp.Kind.TEXT
+                avps.append(make(definition, int(given[field]) if number else given[field]))
+        avps = [entry for entry in avps if str(entry.code) != given.get("without")]
+        if "with" in given:
+            code, flags, data = given["with"].split(":")
+            avps.append(Avp(int(code), bytes.fromhex(data), 0, int(flags, 16)))
+        self.ids += 1
+        command = next(code for code, short in NAMES.items() if short == name[:2])
+        application = avp.CREDIT_CONTROL if command in (avp.CC, avp.AS) else 0
+        return Message(int(given.get("command", command)), int(given.get("to", application)), self.ids,
+                       self.ids, avp.REQUEST, avps).encode()
+
+    def answer(self, name: str, session: str, given: Heard, avps: list[Avp]) -> bytes:
+        asked = self.asked[f"{name[:2]}R{name[3:] or ('-I' if name == 'CCA' else '')}", session]
+        result = int(given["result"])
+        return Message(asked.command, asked.application, asked.hop_by_hop, asked.end_to_end,
+                       avp.ERROR if 3000 <= result < 4000 else 0,
+                       [*avps, make(avp.RESULT_CODE, result), *(
+                           [make(avp.CALLED_STATION_ID, given["key"])] if "key" in given else [])]).encode()
+
+    def send(self, text: str) -> None:
+        if text == "bare":
+            self.bare = True
+        elif text.startswith("state="):
+            self.state_id = int(text[6:])
+        else:
+            super().send(text)
+
+    def unasked(self, heard: Heard) -> bool:
+        return False
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        super().connectionLost(reason)
+        note(self, "hears", {"": "closed", "tag": ""})
+
+    def close(self, how: str) -> None:
+        note(self, "says", {"": "closed", "tag": ""})
+        super().close(how)
+
+
+class DiameterWorld(World):
+    """The agent with its Diameter front, and the log of all that its peers heard and said."""
+
+    actor = DiameterActor
+
+    def __init__(self, record: dict[str, Any]) -> None:
+        self.log: list[tuple[float, str, str, Heard, float | None]] = []
+        super().__init__(record)
+
+
+def note(actor: Actor, way: str, heard: Heard) -> None:
+    world = actor.world
+    if isinstance(world, DiameterWorld):
+        agent = getattr(world, "agent", None)
+        told = agent.rules.servers.get(actor.name) if agent is not None else None
+        world.log.append((world.clock.at, actor.name, way, heard, told.stop_at if told else None))
+
+
+def audit(world: DiameterWorld) -> Iterator[str]:
+    """Reads the log of the peers, not the agent's: one line for each rule that is broken."""
+    out: dict[str, str] = {}  # session: the server where an attempt is out
+    free: dict[str, float] = {}  # session: not to be sent again before
+    finals: dict[str, int] = {}
+    asked: dict[str, int] = {}
+    for at, who, way, heard, stop_at in world.log:
+        name, call = heard[""], heard["tag"]
+        if who.startswith("c"):
+            asked[call] = asked.get(call, 0) + (name == "CCR-I")
+            finals[call] = finals.get(call, 0) + (name == "CCA-I")
+            continue
+        if name == "CCR-I":
+            if call in out:
+                yield f"{call}: two attempts out, at {out[call]} and {who}"
+            if at < free.get(call, 0.0):
+                yield f"{call}: sent again {free[call] - at:.0f} ms too early"
+            if stop_at is not None and at > stop_at + 2000.0:
+                yield f"{call}: sent to {who}, draining since {at - stop_at:.0f} ms"
+            out[call] = who
+        elif name.startswith("CCA") and way == "says" and out.get(call) == who:
+            del out[call]
+        elif name == "CCR-T" and out.get(call) == who:
+            del out[call]
+            free[call] = at + 500.0
+        elif name == "closed":
+            for lost in [session for session, server in out.items() if server == who]:
+                del out[lost]
+                free[lost] = at + 500.0
+    for call, count in finals.items():
+        if call and count > asked[call]:
+            yield f"{call}: {count} final answers to {asked[call]} requests"
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -45,7 +45,7 @@
     def write(self, data: bytes) -> None:
         other = self.other
         if self.open and other is not None:
-            self.world.later.append(lambda: other.protocol.dataReceived(data) if other.open else None)
+            self.world.later.append(lambda: other.protocol.dataReceived(data))
 
     def loseConnection(self) -> None:  # noqa: N802 (Twisted's name)
         for end in (self, self.other):
@@ -56,6 +56,16 @@
     abortConnection = loseConnection  # noqa: N815
 
 
+class Nobody:
+    """Has closed its end, and hears no more."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        pass
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802
+        pass
+
+
 class Reactor:
     """As much of a reactor as the agent asks for."""
 
@@ -171,7 +181,7 @@
         self.state = how or self.state
         if self.wire is not None and how != "silent":
             wire, self.wire = self.wire, None
-            wire.protocol = type("Nobody", (), {"connectionLost": lambda self, reason: None})()
+            wire.protocol = Nobody()
             wire.loseConnection()
 
 
--- /dev/null
+++ b/tests/test_diameter.py
@@ -0,0 +1,312 @@
+"""Scenarios on the Diameter front, with stand-ins for clients and lobby servers that follow a script."""
+
+from __future__ import annotations
+
+import pytest
+
+from frostport.diameter import avp
+from tests.diameter import DiameterWorld, audit, config
+from tests.scenario import play
+
+SET_UP = """
+    send c1 CCR-I a dest=s0 wait=3000 key=500
+    expect s0 CCR-I a wait=3000 key=500 svc=race@here
+"""
+STANDS = SET_UP + """
+    send s0 CCA a result=2001 key=table-7
+    expect c1 CCA-I a result=2001 key=table-7 error=0
+"""
+LOST = """
+    send s0 mute
+    wait 8100
+    wait 8100
+"""
+SCENARIOS = {
+    "a call stands; its server ends it": STANDS + """
+        send s0 ASR a cause=1
+        expect s0 ASA a result=2001
+        expect c1 ASR a cause=1
+        send c1 ASA a result=2001
+        send s0 ASR a cause=1
+        expect s0 ASA a result=5002
+        expect c1 nothing
+    """,
+    "a call stands; its client releases it": STANDS + """
+        send c1 CCR-T a
+        expect s0 CCR-T a
+        send s0 CCA-T a result=2001
+        send c1 CCR-T a
+        expect s0 nothing
+        expect c1 nothing
+    """,
+    "a busy server: the other one is tried at once": SET_UP + """
+        send s0 CCA a result=3004
+        expect s1 CCR-I a
+        send s1 CCA a result=2001
+        expect c1 CCA-I a result=2001
+    """,
+    "other errors use up the attempts: failed": SET_UP + """
+        send s0 CCA a result=5012
+        expect s0 CCR-I a
+        send s0 CCA a result=4002
+        expect s0 CCR-I a
+        send s0 CCA a result=3002
+        expect s0 CCR-I a
+        send s0 CCA a result=5012
+        expect c1 CCA-I a result=5012 error=0
+    """,
+    "time runs out: one answer, the set-up is ended, a late answer changes nothing": SET_UP + """
+        wait 2999
+        expect c1 nothing
+        wait 2
+        expect s0 CCR-T a
+        expect c1 CCA-I a result=5012
+        send s0 CCA a result=2001
+        expect s0 nothing
+        expect c1 nothing
+    """,
+    "without a wait of its own a set-up has its class's deadline": """
+        send c1 CCR-I a dest=s0
+        expect s0 CCR-I a wait=9000
+    """,
+    "a late answer after a give-up": SET_UP + """
+        send c1 CCR-T a
+        expect s0 CCR-T a
+        send s0 CCA a result=2001
+        expect s0 nothing
+        expect c1 nothing
+    """,
+    "no server to be had: refused; a client that heeds overload hears when to come back": """
+        close s0 dead
+        close s1 dead
+        wait 12000
+        send c1 CCR-I a wait=8000 oc=1
+        wait 1200
+        expect c1 CCA-I a result=3004 error=1 back=2
+        send c1 CCR-I b wait=8000
+        wait 1200
+        expect c1 CCA-I b result=3004 error=1
+        send c1 CCR-I a wait=8000 oc=1
+        expect c1 CCA-I a result=3004 back=2
+    """,
+    "a duplicate gets the same answer, and is no second call": SET_UP + """
+        send c1 CCR-I a dest=s0 wait=3000
+        expect s0 nothing
+        send s0 CCA a result=2001
+        expect c1 CCA-I a result=2001
+        expect c1 CCA-I a result=2001
+        send c1 CCR-I a dest=s0 wait=3000
+        expect c1 CCA-I a result=2001
+        expect s0 nothing
+    """,
+    "a watchdog lost in flight: draining, no resend while the attempt is out": SET_UP + """
+        send c1 CCR-I long dest=s0 wait=30000
+        expect s0 CCR-I long
+        wait 3000
+        expect c1 CCA-I a result=5012
+        expect s0 CCR-T a
+        send s0 mute
+        wait 8000
+        wait 4900
+        send c1 CCR-I b dest=s0 wait=9000
+        expect s1 CCR-I b
+        expect s1 nothing
+        wait 8000
+        expect s0 closed
+        wait 560
+        expect s1 CCR-I long
+        send s1 CCA long result=2001
+        expect c1 CCA-I long result=2001
+    """,
+    "a watchdog answered late: the peer is trusted again, and not cold": SET_UP + """
+        send s0 CCA a result=2001
+        expect c1 CCA-I a
+        send s0 mute
+        wait 8000
+        wait 6100
+        send s0 DWA result=2001
+        send s0 unmute
+        send c1 CCR-I b dest=s0 wait=3000
+        expect s0 CCR-I b
+    """,
+    "a peer lost for good: what stood there is over after 8 s, and ended there when it is back": STANDS + """
+        close s0 dead
+        wait 7900
+        expect c1 nothing
+        wait 200
+        expect c1 ASR a cause=4
+        send s0 alive
+        wait 1000
+        expect s0 CCR-T a
+    """,
+    "a peer back soon with its state: what stood there stands": STANDS + """
+        close s0
+        wait 1000
+        wait 10000
+        expect c1 nothing
+        send s0 ASR a cause=1
+        expect c1 ASR a
+    """,
+    "a peer back cold: its sessions are over, it passes REOPEN": STANDS + """
+        close s0
+        send s0 state=2
+        wait 1000
+        expect c1 ASR a cause=4
+        send c1 CCR-I b dest=s0 wait=3000
+        expect s1 CCR-I b
+        send s1 CCA b result=2001
+        expect c1 CCA-I b
+        wait 30000
+        send c1 CCR-I c dest=s0 wait=3000
+        expect s0 CCR-I c
+    """,
+    "a peer that says goodbye gets nothing new; its set-up goes on": SET_UP + """
+        send s0 DPR why=0
+        expect s0 DPA result=2001
+        send c1 CCR-I b dest=s0 wait=3000
+        expect s1 CCR-I b
+        send s0 CCA a result=2001
+        expect c1 CCA-I a result=2001
+        close s0
+        expect c1 nothing
+    """,
+    "a client's set-ups go with its connection": SET_UP + """
+        close c1
+        expect s0 CCR-T a
+        expect agent open 0
+    """,
+    "a release waits for its client": STANDS + """
+        close c1
+        send s0 ASR a cause=1
+        expect s0 ASA a result=2001
+        send c2 DWR
+        expect c2 nothing
+        send c1 DWR
+        expect c1 ASR a
+    """,
+    "a session belongs to its client": STANDS + """
+        send c2 CCR-T a
+        expect s0 nothing
+        send c2 CCR-I a
+        expect c2 CCA-I a result=5002
+    """,
+    "after a restart, releases of unknown sessions are passed on both ways": """
+        send c1 DWR
+        send s0 ASR a cause=1
+        expect s0 ASA a result=2001
+        expect c1 ASR a
+        send c1 CCR-T b
+        expect s0 CCR-T b
+        expect s1 CCR-T b
+    """,
+    "an unknown peer is turned away": """
+        send c1 bare
+        send c1 CER host=stranger
+        expect c1 CEA result=3010 error=1
+        expect c1 closed
+    """,
+    "no common application": """
+        send c1 bare
+        send c1 CER app=3
+        expect c1 CEA result=5010
+        expect c1 closed
+    """,
+    "nothing before the capabilities": """
+        send c1 bare
+        send c1 DWR
+        expect c1 closed
+    """,
+    "a peer that calls again takes the place of its old connection": """
+        send c1 DWR
+        send c1 CCR-I a dest=s0 wait=3000
+        expect s0 CCR-I a
+        send c1 raw 02000014
+        expect c1 closed
+        expect s0 CCR-T a
+    """,
+    "a bad version or length closes": """
+        send c1 DWR
+        send c1 raw 01000013
+        expect c1 closed
+        send c1 DWR
+        send c1 raw 01ffffff
+        expect c1 closed
+    """,
+    "malformed requests get the RFC's results": """
+        send c1 CCR-I a without=461
+        expect c1 CCA a result=5005 failed=461: error=0
+        send c1 CCR-I a with=263:40:61
+        expect c1 CCA a result=5009 failed=263:61
+        send c1 CCR-I a with=415:40:0000
+        expect c1 CCA a result=5014 failed=415:0000
+        send c1 CCR-I a with=9999:40:00
+        expect c1 CCA a result=5001 failed=9999:00
+        send c1 CCR-I a with=9999:41:00
+        expect c1 CCA a result=3009 error=1
+        send c1 CCR-I a with=30:40:ff
+        expect c1 CCA a result=5004 failed=30:ff
+        send c1 CCR-I a svc=unheard@there
+        expect c1 CCA a result=5004
+        send c1 CCR-U a
+        expect c1 CCA-U a result=5012
+        send c1 CCR-I a command=999
+        expect c1 999A a result=3001 error=1
+        send c1 CCR-I a to=16777238
+        expect c1 CCA a result=3007 error=1
+        send c1 CCR-I a with=9999:00:00
+        expect s0 CCR-I a
+        expect c1 nothing
+    """,
+    "sigterm: what is taken is answered, then the peers hear goodbye": SET_UP + """
+        send agent term
+        wait 1000
+        send c1 CCR-I b dest=s0
+        expect c1 CCA-I b result=3004
+        send s0 CCA a result=2001
+        expect c1 CCA-I a result=2001
+        wait 60
+        expect agent exit
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name: str) -> None:
+    wanted = config(**{"retry-after": True, "max-retry-after-ms": 2000.0})
+    world = play(SCENARIOS[name], wanted, DiameterWorld)
+    assert isinstance(world, DiameterWorld)
+    for at, who, way, heard, _ in world.log:
+        print(f"{at:.0f} {who} {way} {heard}")
+    assert list(audit(world)) == []
+    assert len(world.log) > 3
+
+
+def test_the_audit_sees_broken_rules() -> None:
+    world = DiameterWorld(config())
+    world.log = [
+        (0.0, "s0", "hears", {"": "CCR-I", "tag": "a"}, None),
+        (1.0, "s1", "hears", {"": "CCR-I", "tag": "a"}, None),
+        (2.0, "s1", "hears", {"": "CCR-T", "tag": "a"}, None),
+        (400.0, "s0", "hears", {"": "CCR-I", "tag": "a"}, None),
+        (2500.0, "s0", "hears", {"": "CCR-I", "tag": "b"}, 400.0),
+        (2600.0, "c1", "hears", {"": "CCA-I", "tag": "b"}, None)]
+    assert len(list(audit(world))) == 4
+
+
+def test_a_length_that_lies_is_told_with_its_header() -> None:
+    with pytest.raises(avp.AvpError) as told:
+        avp.read_avps(bytes.fromhex("0000010840000099") + b"x")
+    assert told.value.result == avp.INVALID_AVP_LENGTH and told.value.failed.hex() == "0000010840000008"
+
+
+@pytest.mark.parametrize("at", range(1, 60, 7))
+def test_messages_come_whole_out_of_any_split(at: int) -> None:
+    message = avp.Message(avp.CC, 4, 7, 9, avp.REQUEST, [avp.make(avp.SESSION_ID, "ab"),
+                                                         avp.make(avp.MAXIMUM_WAIT_TIME, 5)])
+    data = message.encode() * 2
+    frames = avp.Frames()
+    found = frames.feed(data[:at]) + frames.feed(data[at:])
+    assert found == [message.encode()] * 2
+    read = avp.read_header(found[0])
+    read.avps = avp.read_avps(found[0][avp.HEADER:])
+    assert read.get(avp.SESSION_ID) == "ab" and read.get(avp.MAXIMUM_WAIT_TIME) == 5
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 
 
 def imported(path: pathlib.Path) -> set[str]:
-    names = set()
+    names: set[str] = set()
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
         if isinstance(node, ast.Import):
             names.update(name.name for name in node.names)
