--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -331,3 +331,19 @@
     assert kept is not None and sends(actions)[0].server == kept.server.address
     proxy.run(decide.HARD * proxy.logic.pinch + decide.REST_MS)
     assert proxy.logic.kept is None
+
+
+def test_what_every_answer_takes_is_no_reject() -> None:
+    """On a site whose retransmission is as short as the way there and back, the way alone was a reject."""
+    proxy = Proxy(servers=1, retransmit_ms=100.0)
+    assert proxy.logic.pinch == 100.0
+    proxy.load(10.0, 10.0, 45.0)
+    assert proxy.control().ceiling is None and proxy.control().share < decide.TARGET
+    proxy.load(10.0, 10.0, 140.0)
+    assert proxy.control().ceiling is not None
+
+
+def test_a_short_way_changes_nothing() -> None:
+    proxy = Proxy(servers=1, retransmit_ms=400.0)
+    proxy.load(1.0, 10.0, 45.0)
+    assert proxy.logic.easy(proxy.control()) == pytest.approx(decide.EASY * proxy.logic.pinch)
