--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -203,13 +203,16 @@
             self._remember(call, 0.0)
             front.over(call, -1, outcome)
 
-    def cut(self, server: str, before_ms: float) -> None:
+    def cut(self, server: str, before_ms: float, why: str) -> None:
         """A server's process has died: the calls that stood on it before are over."""
+        before = len(self.requests)
         for request in self.requests:
             attempt = request.attempt
             if (request.state is State.STANDING and attempt is not None and attempt.server == server
                     and request.stood_at <= before_ms):
                 self.ended(attempt, Outcome.RESET)
+        if len(self.requests) < before:
+            log.info("%s: %d calls cut: %s", server, before - len(self.requests), why)
 
     def reported(self, server: str, report: tuple[float, ...]) -> None:
         """A report that came unasked."""
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -88,7 +88,7 @@
             server.lost.cancel()
         before, server.state_id = server.state_id, link.state_id
         if before is not None and link.state_id is not None and link.state_id > before:
-            self.broker.cut(server.host, self.clock.now())  # the process is a new one: its sessions are gone
+            self.broker.cut(server.host, self.clock.now(), "a new process: its sessions are gone")
             server.owed.clear()
         super().opened(link)
         owed, server.owed = server.owed, []
@@ -133,7 +133,7 @@
             if request.state is State.STANDING and request.attempt is not None \
                     and request.attempt.server == server.host:
                 server.owed.append(request.id)
-        self.broker.cut(server.host, self.clock.now())
+        self.broker.cut(server.host, self.clock.now(), "away too long")
         self.tell(server, Lifecycle.GONE)
 
     # From the broker
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -55,6 +55,8 @@
         self.offset = offset
 
     def _hand_on(self, kind: api.ListKind, version: int, entries: list[tuple[api.Server, str]]) -> None:
+        log.info("list %d, %s: %s", version, kind.value, ", ".join(
+            f"{server.address} {server.state.value}" for server, _ in entries))
         for server, dial in entries:
             self.entries[server.address] = (server, dial)
             if server.state is not api.Lifecycle.GONE:
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -25,6 +25,7 @@
 
 log = logging.getLogger("frostport.lobby")
 
+CUT_MS = 100.0  # from a refused connection to the release of what stood there
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
 
 NOTES = {"blocked": NOTE_NO_LINE, "bounced": NOTE_RETURNED, "swamped": NOTE_PROCESSOR_FULL,
@@ -97,10 +98,14 @@
     def unreachable(self, failure: Failure) -> None:
         """No connection: refused proves that the process is dead, silence proves nothing."""
         refused = isinstance(failure.value, ConnectionRefusedError)
+        log.info("%s: no connection: %s", self.host, failure.type.__name__ if failure.type else failure.value)
         waiting, self.waiting = self.waiting, []
         probes, self.probes = self.probes, []
         if refused:
-            self.broker.cut(self.host, self.servers.clock.now())
+            # Guards against being ahead of the cuts themselves: a reset connection is heard before them.
+            now = self.servers.clock.now()
+            self.servers.deadlines.set(
+                now + CUT_MS, lambda: self.broker.cut(self.host, now, "its process is dead"))
         for attempt in waiting:
             self.broker.ended(attempt, Outcome.CONNECT_FAILED)
         for number in probes:
@@ -112,6 +117,7 @@
         if not self.listed:
             connection.drop()
             return
+        log.info("%s: connected", self.host)
         connection.opened_at = self.servers.clock.now()
         connection.slot = self.servers.connections.add(connection)
         self.connection = connection
@@ -132,6 +138,7 @@
         self.servers.connections.free(connection.slot)
         if self.connection is connection:
             self.connection = None
+        log.info("%s: connection lost, %d set-ups open", self.host, len(self.out))
         lost = [attempt for attempt in self.out.values() if attempt.link == connection.slot]
         for attempt in lost:
             del self.out[attempt.request.id]
@@ -143,13 +150,13 @@
         self.listed = False
         if self.redial is not None:
             self.redial.cancel()
-        self.reset(math.inf)
+        self.reset(math.inf, "off the list")
         if self.dialing is not None:
             self.dialing.cancel()
 
-    def reset(self, before_ms: float) -> None:
+    def reset(self, before_ms: float, why: str) -> None:
         """The process that ran before a time is gone: its connection, its set-ups and its calls with it."""
-        self.broker.cut(self.host, before_ms)
+        self.broker.cut(self.host, before_ms, why)
         if self.connection is not None and self.connection.opened_at <= before_ms:
             connection = self.connection
             self.down(connection)
@@ -269,7 +276,7 @@
         if lobby is None:
             lobby = self.lobbies[host] = Lobby(self, host, dial)
         if born_ms:
-            lobby.reset(born_ms)
+            lobby.reset(born_ms, "a new process")
         lobby.connect()
 
     def remove(self, host: str) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -155,6 +155,9 @@
     """,
     "a process that died: refused, so what stood there is over": STANDS + """
         close s0 dead
+        wait 99
+        expect c1 nothing
+        wait 2
         expect c1 FINISH a rc=41
     """,
     "a refused connect sends the call on at once": """
