--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from frostport.config import Config
+from frostport.core import contracts
 from frostport.core.broker import Broker
 from frostport.core.clock import Clock
 from frostport.core.deadlines import Deadline, Deadlines
@@ -137,9 +138,10 @@
         self.config, self.reactor = config, reactor
         self.clock, self.deadlines = clock or Clock(), Deadlines()
         self.lifecycle = Lifecycle()
-        self.rules = Rules(config.settings, config.drain_grace_ms)
-        self.broker = Broker(Controller(config.settings, config.seed), self.rules, self.clock, self.deadlines,
-                             PROBE_TIMEOUT_MS)
+        given = contracts.applied(config.settings, config.contracts)
+        self.rules = Rules(given, config.drain_grace_ms)
+        self.broker = Broker(Controller(given, config.seed), self.rules, self.clock, self.deadlines,
+                             PROBE_TIMEOUT_MS, contracts.Budgets(config.contracts))
         self.pump = Pump(reactor, self.clock, self.deadlines)
         self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
         self.listener: Any = None
--- a/frostport/cli.py
+++ b/frostport/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `serve` (also without a word), `version`, `check-config`."""
+"""The command line: `serve` (also without a word), `check-config`, `contracts`, `version`."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import pathlib
 import sys
 from collections.abc import Sequence
 
@@ -22,6 +23,8 @@
     for command in (serve, check):
         command.add_argument("--config", metavar="FILE",
                              help=f"the configuration; else the file that {config.CONFIG_VARIABLE} names")
+    contracts = commands.add_parser("contracts", help="read a service's OpenAPI or AsyncAPI description")
+    contracts.add_argument("file", metavar="FILE", type=pathlib.Path)
     commands.add_parser("version", help="print the version")
     return made
 
@@ -32,9 +35,16 @@
         print(f"frostport {VERSION}")
         return 0
     try:
+        if given.command == "contracts":
+            for contract in config.load_contracts(given.file):
+                print(f"{contract.service}: aim {contract.aim_ms:g} ms, "
+                      f"deadline {contract.deadline_ms:g} ms, {contract.attempts} attempts, "
+                      f"{contract.set_ups_per_second:g} set-ups a second for each team")
+            return 0
         loaded = config.load(config.find_path(getattr(given, "config", None), os.environ))
     except config.ConfigError as problem:
-        print(f"frostport: configuration: {problem}", file=sys.stderr)
+        what = "contracts" if given.command == "contracts" else "configuration"
+        print(f"frostport: {what}: {problem}", file=sys.stderr)
         return 2
     if given.command == "check-config":
         print(f"configuration of {loaded.name or 'a call agent'} is sound")
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -8,9 +8,12 @@
 from typing import Any
 
 import orjson
+import yaml
 
 from frostport import interface as api
 from frostport import settings
+from frostport.core import contracts
+from frostport.core.contracts import Contract, ContractError
 from frostport.settings import SettingsError
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
@@ -26,7 +29,6 @@
     seed: int
     settings: api.Settings
     drain_grace_ms: float
-    longest_ms: float  # the longest deadline of a class
     sockets: int
     bus: str | None
     known: list[dict[str, Any]]
@@ -34,6 +36,7 @@
     peer_listen: str | None
     peers: list[str]
     diameter: DiameterConfig | None = None
+    contracts: tuple[Contract, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,10 +79,35 @@
         raise ConfigError(f"file: {problem.strerror or problem}") from None
     except orjson.JSONDecodeError as problem:
         raise ConfigError(f"file: not JSON: {problem}") from None
-    return read(record)
+    return read(record, path.parent)
 
 
-def read(record: object) -> Config:
+def load_contracts(path: pathlib.Path) -> list[Contract]:
+    """The contracts of one description, JSON or YAML."""
+    try:
+        text = path.read_bytes()
+        document = orjson.loads(text) if path.suffix == ".json" else yaml.safe_load(text)
+        return contracts.read(document)
+    except OSError as problem:
+        raise ConfigError(f"{path.name}: {problem.strerror or problem}") from None
+    except (orjson.JSONDecodeError, yaml.YAMLError) as problem:
+        raise ConfigError(f"{path.name}: not readable: {' '.join(str(problem).split())}") from None
+    except ContractError as problem:
+        raise ConfigError(f"{path.name}: {problem}") from None
+
+
+def all_contracts(record: Mapping[str, Any], folder: pathlib.Path) -> tuple[Contract, ...]:
+    """The contracts of all files that the configuration names; a class may have one in all."""
+    found: dict[str, Contract] = {}
+    for index, file in enumerate(field(record, "contracts", list, [])):
+        for contract in load_contracts(folder / name(f"contracts.{index}", file)):
+            if contract.service in found:
+                raise ConfigError(f"contracts.{index}: a second contract for {contract.service}")
+            found[contract.service] = contract
+    return tuple(found.values())
+
+
+def read(record: object, folder: pathlib.Path = pathlib.Path()) -> Config:
     if not isinstance(record, dict):
         raise ConfigError("file: not an object")
     conf = settings.Conf(settings.flatten(field(record, "settings", dict, {})))
@@ -104,13 +132,14 @@
     return Config(
         name=field(record, "name", str, ""), listen=address(record, "listen") or "",
         seed=seed, settings=given,
-        drain_grace_ms=grace, longest_ms=max(cls.deadline_ms for cls in given.classes),
+        drain_grace_ms=grace,
         sockets=field(field(record, "limits", dict, {}), "sockets", int, 1024, "limits."),
         bus=address(record, "bus", optional=True), known=batch,
         offset=field(known, "offset", int, 0, "known."),
         peer_listen=address(record, "peer_listen", optional=True),
         peers=[check_address(f"peers.{index}", peer) for index, peer in enumerate(peers)],
-        diameter=read_diameter(record, given) if "diameter" in record else None)
+        diameter=read_diameter(record, given) if "diameter" in record else None,
+        contracts=all_contracts(record, folder))
 
 
 def read_diameter(record: Mapping[str, Any], given: api.Settings) -> DiameterConfig:
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -16,6 +16,7 @@
 
 from frostport import interface as api
 from frostport.core.clock import Clock
+from frostport.core.contracts import Budgets
 from frostport.core.deadlines import Deadline, Deadlines
 from frostport.core.rules import UNCLEAN, Rules
 from frostport.core.slots import Slots
@@ -54,6 +55,7 @@
     end_at: float
     front: Front
     place: int  # the front's number of the connection it came on
+    team: str = "-"
     slot: int = -1
     state: State = State.OPEN
     attempts: int = 0
@@ -111,9 +113,9 @@
     """The calls of one call agent."""
 
     def __init__(self, module: Module, rules: Rules, clock: Clock, deadlines: Deadlines,
-                 probe_timeout_ms: float) -> None:
+                 probe_timeout_ms: float, budgets: Budgets | None = None) -> None:
         self.module, self.rules, self.clock, self.deadlines = module, rules, clock, deadlines
-        self.probe_timeout_ms = probe_timeout_ms
+        self.probe_timeout_ms, self.budgets = probe_timeout_ms, budgets or Budgets()
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.route: Route | None = None
         self.requests: Slots[Request] = Slots()
@@ -138,8 +140,16 @@
         self.by_id[request.id] = request.slot
         _, request.not_before = self.ended_ids.pop(request.id, (0.0, 0.0))
         self.open += 1
+        now = self.clock.now()
+        request.end_at = now + self.budgets.deadline_ms(request.call_class, request.end_at - now)
+        wait = self.budgets.wait_ms(request.team, request.call_class, now)
+        if wait > 0.0:
+            log.info("%s over the budget of %s", request.team, request.call_class)
+            self._give_final(request, lambda request: request.front.refused(request, wait))
+            return
+        event = dataclasses.replace(event, budget_ms=request.end_at - now)
         request.overdue = self.deadlines.set(request.end_at + OVERDUE_MS, lambda: self._overdue(request))
-        if self.clock.now() < request.not_before:
+        if now < request.not_before:
             # Guards against a call that comes again on a new connection while its last attempt's release
             # is still awaited: the module doesn't know that it is the same call.
             self.deadlines.set(request.not_before, lambda: self._feed_late(event, request))
@@ -346,6 +356,8 @@
             request.not_before = now + self.rules.settings.release_guard_ms
             if request.id in self.ended_ids:
                 self.ended_ids[request.id] = (now, request.not_before)
+        if request.state is State.OPEN and self.budgets.spent(request.call_class, request.attempts):
+            self._give_final(request, lambda request: request.front.failed(request))
         self._feed(api.AttemptEnded(
             request.id, attempt.number, attempt.server, outcome, now - attempt.sent_at,
             request.state is not State.OPEN, note, wait_ms, report), request)
--- /dev/null
+++ b/frostport/core/contracts.py
@@ -0,0 +1,142 @@
+"""Contracts and budgets: what each service was promised, and what each team may ask of it a second.
+
+A contract stands in the description of a service, OpenAPI 3 or AsyncAPI 3, as the extension
+`x-frostport-contract` of an operation. This module reads the description once it is decoded.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from frostport import interface as api
+
+EXTENSION = "x-frostport-contract"
+METHODS = ("get", "put", "post", "delete", "options", "head", "patch", "trace")
+FIELDS = ("class", "aim_ms", "deadline_ms", "attempts", "set_ups_per_second")
+BURST_S = 1.0  # a team may spend so many seconds' budget at once
+
+
+class ContractError(ValueError):
+    """A contract that can't be kept as it is written; the message names the place and the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Contract:
+    """One service's contract; the budget counts for each team by itself."""
+
+    service: str
+    aim_ms: float
+    deadline_ms: float
+    attempts: int
+    set_ups_per_second: float
+
+
+def read(document: object) -> list[Contract]:
+    """The contracts of a description; one for each class at most."""
+    if not isinstance(document, dict):
+        raise ContractError("document: not an object")
+    contracts: dict[str, Contract] = {}
+    for place, written in extensions(document):
+        contract = read_one(place, written)
+        if contract.service in contracts:
+            raise ContractError(f"{place}.class: a second contract for {contract.service}")
+        contracts[contract.service] = contract
+    if not contracts:
+        raise ContractError(f"document: no operation has {EXTENSION}")
+    return list(contracts.values())
+
+
+def extensions(document: Mapping[str, Any]) -> Iterator[tuple[str, object]]:
+    """The places of all contracts, by the description's kind."""
+    if str(document.get("openapi", "")).startswith("3."):
+        for path, item in section(document, "paths").items():
+            for method in METHODS:
+                if isinstance(item, dict) and isinstance(item.get(method), dict):
+                    yield from extension(f"paths.{path}.{method}", item[method])
+    elif str(document.get("asyncapi", "")).startswith("3."):
+        for name, operation in section(document, "operations").items():
+            if isinstance(operation, dict):
+                yield from extension(f"operations.{name}", operation)
+    else:
+        raise ContractError("document: neither openapi 3 nor asyncapi 3")
+
+
+def section(document: Mapping[str, Any], name: str) -> Mapping[str, Any]:
+    found = document.get(name, {})
+    if not isinstance(found, dict):
+        raise ContractError(f"{name}: not an object")
+    return found
+
+
+def extension(place: str, operation: Mapping[str, Any]) -> Iterator[tuple[str, object]]:
+    if EXTENSION in operation:
+        yield f"{place}.{EXTENSION}", operation[EXTENSION]
+
+
+def read_one(place: str, written: object) -> Contract:
+    if not isinstance(written, dict):
+        raise ContractError(f"{place}: not an object")
+    for name in written:
+        if name not in FIELDS:
+            raise ContractError(f"{place}.{name}: unknown field")
+    service = written.get("class")
+    if not isinstance(service, str) or not service:
+        raise ContractError(f"{place}.class: no name")
+    figures = {name: figure(f"{place}.{name}", written.get(name)) for name in FIELDS[1:]}
+    if figures["attempts"] != int(figures["attempts"]):
+        raise ContractError(f"{place}.attempts: not a whole number")
+    if figures["aim_ms"] > figures["deadline_ms"]:
+        raise ContractError(f"{place}.aim_ms: past deadline_ms")
+    return Contract(service, figures["aim_ms"], figures["deadline_ms"], int(figures["attempts"]),
+                    figures["set_ups_per_second"])
+
+
+def figure(place: str, value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0.0 < value < math.inf:
+        raise ContractError(f"{place}: not a number above 0")
+    return float(value)
+
+
+def applied(settings: api.Settings, contracts: Iterable[Contract]) -> api.Settings:
+    """The settings with each contract's aim and deadline; a class that only a contract names joins them."""
+    classes = {cls.name: cls for cls in settings.classes}
+    for contract in contracts:
+        known = classes.get(contract.service) or api.CallClass(contract.service, 0.0, 0.0)
+        classes[contract.service] = dataclasses.replace(
+            known, aim_ms=contract.aim_ms, deadline_ms=contract.deadline_ms)
+    return dataclasses.replace(settings, classes=tuple(classes.values()))
+
+
+class Budgets:
+    """One token bucket for each team and service under contract; whoever has no contract has no limit."""
+
+    def __init__(self, contracts: Iterable[Contract] = ()) -> None:
+        self.contracts = {contract.service: contract for contract in contracts}
+        self._buckets: dict[tuple[str, str], tuple[float, float]] = {}  # tokens, and when they were counted
+
+    def wait_ms(self, team: str, service: str, now: float) -> float:
+        """0 where the set-up is within budget, and counted; else how long until it would be."""
+        contract = self.contracts.get(service)
+        if contract is None:
+            return 0.0
+        most = max(1.0, contract.set_ups_per_second * BURST_S)
+        tokens, at = self._buckets.get((team, service), (most, now))
+        tokens = min(most, tokens + (now - at) / 1000.0 * contract.set_ups_per_second)
+        if tokens >= 1.0:
+            self._buckets[team, service] = (tokens - 1.0, now)
+            return 0.0
+        self._buckets[team, service] = (tokens, now)
+        return (1.0 - tokens) / contract.set_ups_per_second * 1000.0
+
+    def deadline_ms(self, service: str, left_ms: float) -> float:
+        contract = self.contracts.get(service)
+        return left_ms if contract is None else min(left_ms, contract.deadline_ms)
+
+    def spent(self, service: str, attempts: int) -> bool:
+        """Whether a call has used up the attempts of its contract."""
+        contract = self.contracts.get(service)
+        return contract is not None and attempts >= contract.attempts
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -104,7 +104,8 @@
             link.host, str(message.get(avp.ORIGIN_REALM)),
             features is not None and bool((LOSS_ALGORITHM if vector is None else vector) & LOSS_ALGORITHM),
             [(link, message)])
-        request = Request(name, cls.name, called, carried(message), self.clock.now() + left, self, link.slot)
+        request = Request(name, cls.name, called, carried(message), self.clock.now() + left, self, link.slot,
+                          link.realm)
         self.broker.arrive(request, api.CallArrived(
             name, cls.name, "-", left, self.numbers.get(str(message.get(avp.DESTINATION_HOST)), -1),
             int.from_bytes(called.encode()[-6:], "big")))
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -98,7 +98,8 @@
             connection.say(Message("FINISH", message.tag, rc=jsonl.OVERLOADED))
             return
         now = broker.clock.now()
-        request = Request(message.tag, name, key, message.blob or "", now + left, self, connection.slot)
+        request = Request(message.tag, name, key, message.blob or "", now + left, self, connection.slot,
+                          message.opts.get("tenant", "-"))
         broker.arrive(request, api.CallArrived(
             message.tag, name, message.opts.get("tenant", "-"), left, int(extras.get("dest", -1)), called,
             redial=message.opts.get("retry", "0") not in ("", "0"), cut_before=bool(extras.get("again", 0))))
