--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -189,13 +189,14 @@
     """The agent, its clock and all that it talks to."""
 
     actor: type[Actor] = Actor
+    reactor_kind: type[Reactor] = Reactor
     addresses: ClassVar = {"10.0.0.1:1": "s0", "10.0.0.2:1": "s1", "10.0.1.1:1": "bus"}
 
     def __init__(self, record: dict[str, Any]) -> None:
         self.clock = SetClock(START_MS)
         self.later: list[Callable[[], Any]] = []
         self.actors = {name: self.actor(self, name) for name in ("c1", "c2", "s0", "s1", "bus", "p1")}
-        self.reactor = Reactor(self)
+        self.reactor = self.reactor_kind(self)
         self.agent = Agent(config.read(record), self.reactor, self.clock)
         self.agent.start()
         self.settle()
--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,173 @@
+"""The same scenarios over real sockets on the loopback, and the program as it is started.
+
+The stand-ins drop watchdogs by their script; the clock is still set, so that nothing waits for real time.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+from twisted.internet import protocol
+from twisted.internet.selectreactor import SelectReactor
+
+from tests import diameter, test_diameter, test_platform
+from tests.scenario import Actor, Reactor, World, event, host, platform, play
+
+ROUNDS, PATIENCE = 8, 400  # turns of the reactor in a step, and steps that an expected message is waited for
+
+
+class SocketWire(protocol.Protocol):
+    """An actor's end of a real connection."""
+
+    transport: Any = None
+
+    def __init__(self, actor: Actor) -> None:
+        self.protocol: Any = actor
+        self.open = True
+
+    def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
+        self.protocol.connect(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.protocol.dataReceived(data)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.open = False
+        self.protocol.connectionLost(reason)
+
+    def write(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.open = False
+        self.transport.abortConnection()
+
+
+class LoopbackReactor(Reactor):
+    """A real reactor, turned by hand; a dead server's address is a port where nobody listens."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self.real: Any = SelectReactor()
+        self.ports: dict[str, Any] = {}
+        with socket.socket() as closed:
+            closed.bind(("127.0.0.1", 0))
+            self.nobody = closed.getsockname()[1]
+
+    def port_of(self, name: str) -> int:
+        actor = self.world.actors[name]
+        if actor.state == "dead":
+            return int(self.nobody)
+        if name not in self.ports:
+            factory = protocol.Factory.forProtocol(lambda: SocketWire(actor))
+            self.ports[name] = self.real.listenTCP(0, factory, interface="127.0.0.1")
+        return int(self.ports[name].getHost().port)
+
+    def listenTCP(self, port: int, factory: Any, **more: Any) -> Reactor:  # noqa: N802
+        self.factory = self.real.listenTCP(0, factory, interface="127.0.0.1")
+        return self
+
+    def connectTCP(self, host: str, port: int, factory: Any, **more: Any) -> Any:  # noqa: N802
+        port = self.port_of(self.world.addresses[f"{host}:{port}"])
+        return self.real.connectTCP("127.0.0.1", port, factory, timeout=30)
+
+    def stopListening(self) -> None:  # noqa: N802
+        self.factory.stopListening()
+
+
+class Loopback:
+    """Mixed into a world: its connections are real."""
+
+    reactor_kind: type[Reactor] = LoopbackReactor
+
+    def settle(self: Any) -> None:
+        for _ in range(ROUNDS):
+            self.reactor.real.iterate(0.001)
+            self.agent.deadlines.run(self.clock.now())
+
+    def accept(self: Any, actor: Actor) -> None:
+        factory = protocol.ClientFactory.forProtocol(lambda: SocketWire(actor))
+        port = self.reactor.factory.getHost().port
+        self.reactor.real.connectTCP("127.0.0.1", port, factory)
+        for _ in range(PATIENCE):
+            if actor.wire is not None:
+                break
+            self.settle()
+
+    def step(self: Any, line: str) -> None:
+        for _ in range(PATIENCE if line.startswith("expect") and "nothing" not in line else 0):
+            who = line.split()[1]
+            if who == "agent" or any(not self.actors[who].unasked(heard) for heard in self.actors[who].inbox):
+                break
+            self.settle()
+        super().step(line)  # type: ignore[misc]
+
+
+class PlatformLoopback(Loopback, World):
+    pass
+
+
+class DiameterLoopback(Loopback, diameter.DiameterWorld):
+    pass
+
+
+@pytest.mark.parametrize("name", [
+    "a call stands and comes to its end", "a broken connection resets its set-ups and leaves what stands",
+    "a process that died: refused, so what stood there is over",
+    "a refused connect sends the call on at once",
+    "malformed lines cost themselves only; a readable set-up is refused"])
+def test_platform_over_sockets(name: str) -> None:
+    record = {key: value for key, value in platform().items() if key != "peer_listen"}
+    play(test_platform.SCENARIOS[name], record, PlatformLoopback)
+
+
+@pytest.mark.parametrize("name", [
+    "a watchdog lost in flight: draining, no resend while the attempt is out",
+    "a watchdog answered late: the peer is trusted again, and not cold",
+    "a peer back cold: its sessions are over, it passes REOPEN", "a late answer after a give-up",
+    "a peer that says goodbye gets nothing new; its set-up goes on",
+    "a duplicate gets the same answer, and is no second call"])
+def test_diameter_over_sockets(name: str) -> None:
+    wanted = diameter.config(**{"retry-after": True, "max-retry-after-ms": 2000.0})
+    world = play(test_diameter.SCENARIOS[name], wanted, DiameterLoopback)
+    assert isinstance(world, DiameterLoopback)
+    for at, who, way, heard, _ in world.log:
+        print(f"{at:.0f} {who} {way} {heard}")
+    assert list(diameter.audit(world)) == []
+
+
+def test_the_program_serves_and_ends_on_sigterm(tmp_path: pathlib.Path) -> None:
+    with socket.socket() as lobby:
+        lobby.bind(("127.0.0.1", 0))
+        lobby.listen()
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            listen = free.getsockname()
+        first = json.loads(event(1, {**host(0), "dial": f"127.0.0.1:{lobby.getsockname()[1]}"}, whole=True))
+        record = platform()
+        del record["bus"], record["peer_listen"]
+        record.update(listen=f"{listen[0]}:{listen[1]}", known={"offset": 1, "batch": [first]})
+        (tmp_path / "config.json").write_text(json.dumps(record), encoding="utf-8")
+        environment = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json")}
+        program = subprocess.Popen([sys.executable, "-m", "frostport"], env=environment)
+        try:
+            lobby.settimeout(60)
+            server, _ = lobby.accept()
+            client = socket.create_connection(listen, timeout=60)
+            client.sendall(b'{"verb":"START","tag":"00000000000000aa","opts":{"class":"race","left":60000}}\n')
+            assert b'"verb":"START"' in server.makefile("rb").readline()
+            program.send_signal(signal.SIGTERM)
+            server.sendall(b'{"verb":"STARTED","tag":"00000000000000aa","blob":"x"}\n')
+            assert b'"verb":"STARTED"' in client.makefile("rb").readline()
+            assert program.wait(timeout=60) == 0
+        finally:
+            program.kill()
+            program.wait()
