--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -17,6 +17,7 @@
 # --- Tuned values -----------------------------------------------------------------------------------
 BEAT_MS = 50.0  # how often held calls are looked at; well under any aim
 REST_MS = 250.0  # the same with none held: late attempts, news to peers, the next probe
+PACED_MS, PACE_LEAST = 400.0, 0.25  # ticks, memories and the timer below are for this pinch; shorter with it
 TICK_MS = 1000.0  # one Update step; longer than an answer takes, so that a step's effect is seen
 PEERS_TOLD = 2  # peers told of a proxy's news each rest beat: the same cost a proxy in any fleet
 PROBE_MS = 700.0  # a server is probed no sooner again, and one server a rest beat
@@ -70,8 +71,10 @@
 class Control:
     """What a proxy keeps of one server: Detection, Update and Restriction, pauses and cold start."""
 
-    def __init__(self, server: api.Server, settings: api.Settings, now: float, phase: float):
-        self.server, self.settings = server, settings
+    def __init__(self, server: api.Server, settings: api.Settings, now: float, phase: float,
+                 pace: float = 1.0):
+        self.server, self.settings, self.pace = server, settings, pace
+        self.rate_s, self.news_ms = RATE_S * pace, NEWS_MS * pace
         self.phase = phase  # puts first tokens and probes of the proxies apart: in step they are a crowd
         self.at = self.token_at = self.born = now
         self.sent = self.stood = 0.0
@@ -88,22 +91,22 @@
 
     def age(self, now: float) -> None:
         """Lets the rates leak for the time that has passed."""
-        keep = math.exp(-max(0.0, now - self.at) / 1000.0 / RATE_S)
+        keep = math.exp(-max(0.0, now - self.at) / 1000.0 / self.rate_s)
         self.at = now
         self.sent, self.stood = self.sent * keep, self.stood * keep
 
     def rate(self, count: float) -> float:
         """A decayed count as a rate a second; unbiased from the start, when little was counted yet."""
-        seen_s = RATE_S * (1.0 - math.exp(-max(1.0, (self.at - self.born) / 1000.0) / RATE_S))
+        seen_s = self.rate_s * (1.0 - math.exp(-max(1.0, (self.at - self.born) / 1000.0) / RATE_S))
         return (count + EVEN) / (seen_s + EVEN / self.fair) if self.fair else count / seen_s
 
     def weight(self, now: float) -> float:
         """How many answers the bucket stands for now: it leaks with the age of its news."""
-        return self.answers and self.answers * math.exp((self.heard_at - now) / NEWS_MS)
+        return self.answers and self.answers * math.exp((self.heard_at - now) / self.news_ms)
 
     def cut(self, ceiling: float, now: float) -> None:
         """Lowers the ceiling, never far below what is still answered here: a queue is no lost capacity."""
-        self.ceiling = max(FLOOR * self.fair, ceiling, SEVERE * self.stood / RATE_S)
+        self.ceiling = max(FLOOR * self.fair, ceiling, SEVERE * self.stood / self.rate_s)
         self.cut_at, self.ends_at, self.answers = now, math.inf, 0.0
 
     def spread(self, now: float) -> None:
@@ -114,11 +117,11 @@
         """Detection: answers with a share of rejects join the bucket, each by how fresh it is."""
         if since < self.cut_at or answers <= 0.0:
             return  # what was sent before the last cut tells of the ceiling before it
-        old, new = self.weight(now), answers * math.exp((heard_at - now) / NEWS_MS)
+        old, new = self.weight(now), answers * math.exp((heard_at - now) / self.news_ms)
         part = new / (old + new)
         self.share += part * (share - self.share)
         self.heard_at = heard_at if part == 1.0 else self.heard_at + part * (heard_at - self.heard_at)
-        self.answers = min(AVERAGED, (old + new) * math.exp((now - self.heard_at) / NEWS_MS))
+        self.answers = min(AVERAGED, (old + new) * math.exp((now - self.heard_at) / self.news_ms))
         if self.ceiling is None and self.weight(now) * (self.share - TARGET) >= LEVEL:
             self.age(now)
             self.spread(now)
@@ -136,7 +139,7 @@
         elif self.ceiling < LEAST * self.rate(self.sent):
             self.ceiling *= 1.0 - CLIMB * miss
         else:
-            self.ends_at = min(self.ends_at, now + PENDING_MS)
+            self.ends_at = min(self.ends_at, now + PENDING_MS * self.pace)
         if now >= self.ends_at:
             self.ceiling = None
 
@@ -174,6 +177,9 @@
         self.longest = max((cls.deadline_ms for cls in settings.classes), default=0.0)
         pinch = min((cls.aim_ms for cls in settings.classes), default=1000.0) / 2.0
         self.pinch = min(pinch, settings.retransmit_ms or pinch)
+        # Guards against ticks too long for the queue: it grows by whole aims before a step down shows.
+        self.pace = min(1.0, max(PACE_LEAST, self.pinch / PACED_MS))
+        self.tick_ms, self.offer_s = TICK_MS * self.pace, OFFER_S * self.pace
         self.controls: dict[str, Control] = {}
         self.calls: dict[str, Call] = {}
         self.held: list[Call] = []
@@ -195,7 +201,7 @@
         if self.born == -math.inf:
             self.born = now_ms
             phase = self.random.random()
-            self.tick_at, self.rest_at = now_ms + TICK_MS * phase, now_ms + REST_MS * phase
+            self.tick_at, self.rest_at = now_ms + self.tick_ms * phase, now_ms + REST_MS * phase
             self.due(min(self.rest_at, self.tick_at), now_ms, out)
             if self.settings.subscribe:
                 out.append(api.Subscribe())
@@ -359,7 +365,7 @@
         for server in event.servers:
             known = self.controls.get(server.address)
             control = self.controls[server.address] = known or Control(
-                server, self.settings, now, self.random.random())
+                server, self.settings, now, self.random.random(), self.pace)
             fresh = known is None or server.started_ms > control.server.started_ms
             control.server = server
             if fresh and server.started_ms > now - self.settings.cold_ms:
@@ -371,7 +377,7 @@
 
     def even(self, now: float) -> None:
         """The fair rate of each server: this proxy's offered calls, divided by lines."""
-        seen_s = OFFER_S * (1.0 - math.exp(-max(1.0, (now - self.born) / 1000.0) / OFFER_S))
+        seen_s = self.offer_s * (1.0 - math.exp(-max(1.0, (now - self.born) / 1000.0) / self.offer_s))
         ready = self.ready()
         lines = sum(control.size for control in ready)
         for control in ready:
@@ -432,10 +438,10 @@
             self.rest_at = now + REST_MS
             self.ask(now, out)
         if now >= self.tick_at:
-            self.tick_at = now + TICK_MS
+            self.tick_at = now + self.tick_ms
             self.unserved = {key: at for key, at in self.unserved.items() if now - at < self.longest}
             self.busy = {key: to for key, to in self.busy.items() if now - to[0] < self.longest}
-            self.offered *= math.exp(-TICK_MS / 1000.0 / OFFER_S)
+            self.offered *= math.exp(-self.tick_ms / 1000.0 / self.offer_s)
             self.even(now)
             for control in self.controls.values():
                 control.tick(now)
