Bound the way there and back to 60 ms, so that a pinch of 400 ms decides as before

Checked: a server pressed from its start has no short answer; its first long one was taken for the way and hid the pressure (decide.py, easy). Ruled out: the pace, which is 1 at a pinch of 400 ms.

--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -30,6 +30,7 @@
 OFFER_S = 6.0  # memory of the rate of calls offered to this proxy
 EASY, HARD = 0.3, 1.2  # an answer counts nothing below EASY, a whole reject above HARD times the pinch
 NEAR = 0.15  # both move up where the shortest answer comes within this part of the pinch of EASY
+WAY_MS = 60.0  # the longest way there and back that is taken for one: with a pinch of 400 ms it moves nothing
 TARGET = 0.10  # target reject share: the sum of the target rates stays small against capacity (C.1)
 LEVEL = 1.0  # rejects above target in the bucket that activate control: one never does (7.3.1)
 ENOUGH = 0.5  # answers in the bucket below which nothing is known and Update waits
@@ -304,14 +305,15 @@
         call.counted = True
 
     def easy(self, control: Control) -> float:
-        """An answer this young tells of no queue."""
+        """An answer this young, in pinches, tells of no queue."""
         # Guards against ways as long as a pinch: what every answer takes is no sign of a pressed processor.
-        return max(EASY * self.pinch, min(control.near, self.pinch) + NEAR * self.pinch
-                   if control.near < math.inf else 0.0)
+        # A server that was pressed from the start has no short answer: what counts as its way is bounded.
+        way = min(control.near, WAY_MS) if control.near < math.inf else 0.0
+        return max(EASY, way / self.pinch + NEAR)
 
-    def grade(self, elapsed_ms: float, easy_ms: float) -> float:
+    def grade(self, elapsed_ms: float, easy: float = EASY) -> float:
         """How far an answer's age counts as a reject; full comes only long past every aim."""
-        return min(1.0, max(0.0, (elapsed_ms - easy_ms) / self.pinch / (HARD - EASY)))
+        return min(1.0, max(0.0, (elapsed_ms / self.pinch - easy) / (HARD - EASY)))
 
     def stands(self, event: api.CallStands, now: float, out: list[api.Action]) -> None:
         call = self.calls.get(event.call)
@@ -411,7 +413,7 @@
             if control.lines < LEAST * control.fair <= before:
                 control.spread(now)
         if event.elapsed_ms > 0.0 and told.get("mean_ms", -1.0) >= 0.0:
-            control.evidence(now, self.grade(told["mean_ms"], EASY * self.pinch), now - told["mean_ms"], now)
+            control.evidence(now, self.grade(told["mean_ms"]), now - told["mean_ms"], now)
 
     def heard(self, event: api.PeerMessage, now: float, out: list[api.Action]) -> None:
         """What a peer has heard of a server joins the same bucket; what does not decode is only counted."""
@@ -429,8 +431,8 @@
         self.beat_at = math.inf
         for call in self.calls.values():
             # An attempt still out counts once it is as late as a reject: full and time-outs come too late.
-            if call.out is not None and not call.counted and now - call.sent_at >= self.easy(call.out) \
-                    + (HARD - EASY) * self.pinch:
+            if call.out is not None and not call.counted \
+                    and now - call.sent_at >= (HARD + self.easy(call.out) - EASY) * self.pinch:
                 self.witness(call, call.out, now, 1.0)
         waiting, self.held = [call for call in self.held if call.id in self.calls], []
         self.place(waiting, now, out)
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -343,7 +343,14 @@
     assert proxy.control().ceiling is not None
 
 
-def test_a_short_way_changes_nothing() -> None:
+@pytest.mark.parametrize("elapsed", [5.0, 45.0, 300.0, 2000.0])
+def test_with_a_long_pinch_the_way_and_the_pace_change_nothing(elapsed: float) -> None:
+    """Servers pressed from the start had no short answer: taken for the way, a long one hid the pressure."""
     proxy = Proxy(servers=1, retransmit_ms=400.0)
-    proxy.load(1.0, 10.0, 45.0)
-    assert proxy.logic.easy(proxy.control()) == pytest.approx(decide.EASY * proxy.logic.pinch)
+    proxy.load(0.5, 10.0, elapsed)
+    assert proxy.logic.easy(proxy.control()) == decide.EASY
+    assert (proxy.logic.pace, proxy.logic.tick_ms) == (1.0, decide.TICK_MS)
+
+
+def test_with_a_short_pinch_the_pace_is_shorter() -> None:
+    assert Proxy(retransmit_ms=100.0).logic.pace == 0.25
