Dial a peer that hangs up early once a second, not in growing numbers; check who answered

Seen in review, then by test: a server peer that closed before its capabilities were exchanged set a new dial for every unconnected server each time (diameter/route.py, closed), so dials multiplied. Changed: one dial and one timer a peer, a limit on dials that hang, a peer that answers under another name is turned away; on the platform a server that closes each new connection at once waits 500 ms. Faults that Twisted catches go to the log.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -12,6 +12,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.log import PythonLoggingObserver
 
 from frostport.config import Config
 from frostport.core import contracts
@@ -108,7 +109,7 @@
         agent.broker.route = self.route
 
     def factory(self) -> Factory:
-        return Accept(lambda: self.front.connection(calling=False))
+        return Accept(lambda: self.front.connection())
 
     def start(self) -> None:
         self.route.start()
@@ -189,10 +190,17 @@
             self.deadlines.set(self.clock.now() + FLUSH_MS, lambda: self.lifecycle.enter(Phase.STOPPED))
 
 
+def report_faults() -> None:
+    """What Twisted catches, a fault in a callback say, goes to the same log."""
+    observer: Any = PythonLoggingObserver
+    observer("frostport.twisted").start()
+
+
 def serve(config: Config, reactor: Any = None) -> int:
     """Runs a call agent until it is told to end."""
     if reactor is None:
         from twisted.internet import reactor
+    report_faults()
     agent = Agent(config, reactor)
 
     def on_term(signum: int, frame: object) -> None:
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -142,6 +142,8 @@
 
     def lost(self, peer: Peer, link: PeerConnection) -> None:
         """The set-ups that wait on a connection alone go with it."""
+        self.aborts = {hop: call for hop, call in self.aborts.items()
+                       if self.owed.get(call, (peer.host,))[0] != peer.host}
         for name, session in list(self.sessions.items()):
             if session.answer is None:
                 session.waiting = [(at, message) for at, message in session.waiting if at is not link]
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -62,7 +62,7 @@
     """What the front or the route hears of a connection; by default nothing."""
 
     def may_open(self, host: str) -> bool:
-        """Whether a peer of this name may connect here, or is the one that was called."""
+        """Whether a peer of this name may connect here."""
         return True
 
     def opened(self, link: PeerConnection) -> None:
@@ -90,11 +90,11 @@
     transport: Any = None
 
     def __init__(self, identity: Identity, owner: Owner, clock: Clock, deadlines: Deadlines,
-                 calling: bool, first_id: Callable[[], int]) -> None:
+                 called: str, first_id: Callable[[], int]) -> None:
         self.identity, self.owner, self.clock, self.deadlines = identity, owner, clock, deadlines
-        self.calling, self.next_id = calling, first_id
+        self.called, self.next_id = called, first_id  # the peer that was called, "" where it calls
         self.state = Link.CLOSED
-        self.host, self.realm = "?", ""
+        self.host, self.realm = called or "?", ""
         self.state_id: int | None = None
         self.slot = -1
         self._frames = Frames()
@@ -106,9 +106,9 @@
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
         if interfaces.ITCPTransport.providedBy(self.transport):
             self.transport.setTcpNoDelay(True)
-        self.state = Link.WAIT_CEA if self.calling else Link.WAIT_CER
+        self.state = Link.WAIT_CEA if self.called else Link.WAIT_CER
         self._limit = self.deadlines.set(self.clock.now() + EXCHANGE_MS, self.drop)
-        if self.calling:
+        if self.called:
             self.ask(avp.CE, self.identity.capabilities())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -253,7 +253,7 @@
         result, host = message.get(avp.RESULT_CODE), str(message.get(avp.ORIGIN_HOST))
         if self.state is not Link.WAIT_CEA:
             return
-        if result != avp.SUCCESS or not self.owner.may_open(host) or not common(message):
+        if result != avp.SUCCESS or host != self.called or not common(message):
             log.warning("%s: capabilities refused: result %s", host, result)
             self.drop()
         else:
@@ -330,8 +330,8 @@
                                  lambda before, after: self.watched(peer, before, after))
         self.peers[peer.host] = peer
 
-    def connection(self, calling: bool) -> PeerConnection:
-        return PeerConnection(self.identity, self, self.clock, self.deadlines, calling, self.next_id)
+    def connection(self, called: str = "") -> PeerConnection:
+        return PeerConnection(self.identity, self, self.clock, self.deadlines, called, self.next_id)
 
     def watched(self, peer: Peer, before: Watch, after: Watch) -> None:
         log.info("%s: watchdog %s -> %s", peer.host, before.value, after.value)
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -16,7 +16,7 @@
 from frostport.diameter import avp
 from frostport.diameter.avp import Message, make
 from frostport.diameter.front import carried
-from frostport.diameter.peer import Identity, Node, Peer, PeerConnection
+from frostport.diameter.peer import EXCHANGE_MS, Identity, Node, Peer, PeerConnection
 from frostport.diameter.watchdog import Watch
 from frostport.interface import Lifecycle, ListKind, Outcome
 
@@ -37,6 +37,8 @@
         self.started_ms = 0.0
         self.state_id: int | None = None
         self.lost: Deadline | None = None
+        self.dialing: PeerConnection | None = None
+        self.redial: Deadline | None = None
 
 
 class DiameterRoute(Node):
@@ -61,14 +63,28 @@
             self.dial(server)
 
     def dial(self, server: ServerPeer) -> None:
+        if server.link is not None or server.dialing is not None or self.ending:
+            return
+        server.dialing = self.connection(server.host)
+        dialing = self.connect(server.entry.dial, server.dialing)
+        limit = self.deadlines.set(self.clock.now() + EXCHANGE_MS, dialing.cancel)
+
+        def settled(result: object) -> object:
+            limit.cancel()
+            return result
+
         def failed(failure: Failure) -> None:
             self._redial(server)
 
-        if server.link is None and not self.ending:
-            self.connect(server.entry.dial, self.connection(calling=True)).addErrback(failed)
+        dialing.addBoth(settled)
+        dialing.addErrback(failed)
 
     def _redial(self, server: ServerPeer) -> None:
-        self.deadlines.set(self.clock.now() + REDIAL_MS, lambda: self.dial(server))
+        server.dialing = None
+        if server.redial is not None:
+            server.redial.cancel()
+        if not self.ending:
+            server.redial = self.deadlines.set(self.clock.now() + REDIAL_MS, lambda: self.dial(server))
 
     def tell(self, server: ServerPeer, state: Lifecycle) -> None:
         """Changes the module's list, if this is a change."""
@@ -90,6 +106,7 @@
         if before is not None and link.state_id is not None and link.state_id > before:
             self.broker.cut(server.host, self.clock.now(), "a new process: its sessions are gone")
             server.owed.clear()
+        server.dialing = None
         super().opened(link)
         owed, server.owed = server.owed, []
         for call in owed:
@@ -111,10 +128,9 @@
 
     def closed(self, link: PeerConnection) -> None:
         super().closed(link)
-        if link.slot < 0 and not self.ending:  # it was never open: there is no peer to be lost
-            for server in self.servers.values():
-                if server.link is None:
-                    self._redial(server)
+        server = self.servers[link.host]
+        if server.dialing is link:  # it closed before it was open: there is no peer to be lost
+            self._redial(server)
 
     def lost(self, peer: Peer, link: PeerConnection) -> None:
         server = self.servers[peer.host]
@@ -124,8 +140,7 @@
             server.owed.append(attempt.request.id)  # it may have set the call up unheard
             self.broker.ended(attempt, Outcome.RESET)
         server.lost = self.deadlines.set(self.clock.now() + self.sessions_lost_ms, lambda: self._gone(server))
-        if not self.ending:
-            self._redial(server)
+        self._redial(server)
 
     def _gone(self, server: ServerPeer) -> None:
         """Away too long: what stood there is over towards its clients, and ended there when it is back."""
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -110,7 +110,12 @@
             self.broker.ended(attempt, Outcome.CONNECT_FAILED)
         for number in probes:
             self.broker.probed(number, Outcome.CONNECT_FAILED)
+        self._redial_later()
+
+    def _redial_later(self) -> None:
         if self.listed and self.connection is None and self.dialing is None:
+            if self.redial is not None:
+                self.redial.cancel()
             self.redial = self.servers.deadlines.set(self.servers.clock.now() + REDIAL_MS, self.connect)
 
     def up(self, connection: ServerConnection) -> None:
@@ -143,7 +148,10 @@
         for attempt in lost:
             del self.out[attempt.request.id]
             self.broker.ended(attempt, Outcome.RESET)
-        self.connect()
+        if self.servers.clock.now() >= connection.opened_at + REDIAL_MS:
+            self.connect()
+        else:  # guards against a server that closes each new connection at once
+            self._redial_later()
 
     def leave(self) -> None:
         """The server is off the list: nothing is sent, no call stands there any more."""
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -199,6 +199,36 @@
         expect s0 CCR-T b
         expect s1 CCR-T b
     """,
+    "a server that hangs up before its capabilities is dialed once a second, not more": """
+        send s0 bare
+        close s0
+        wait 1000
+        expect s0 CER
+        close s0
+        wait 999
+        expect s0 nothing
+        wait 1
+        expect s0 CER
+        close s0
+        wait 1000
+        expect s0 CER
+        expect s0 nothing
+        wait 9999
+        expect s0 nothing
+        wait 1001
+        expect s0 closed
+        expect s0 CER
+    """,
+    "a server that is not the one called is turned away": """
+        send s0 bare
+        close s0
+        wait 1000
+        expect s0 CER
+        send s0 CEA result=2001 host=s1
+        expect s0 closed
+        wait 1000
+        expect s0 CER
+    """,
     "an unknown peer is turned away": """
         send c1 bare
         send c1 CER host=stranger
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -153,7 +153,18 @@
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
     """,
+    "a server that closes each new connection at once is dialed twice a second": """
+        close s0
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 START a
+        close s0
+        wait 499
+        expect c1 nothing
+        wait 60
+        expect s0 START a
+    """,
     "a process that died: refused, so what stood there is over": STANDS + """
+        wait 600
         close s0 dead
         wait 99
         expect c1 nothing
