--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -181,6 +181,7 @@
         # Guards against ticks too long for the queue: it grows by whole aims before a step down shows.
         self.pace = min(1.0, max(PACE_LEAST, self.pinch / PACED_MS))
         self.tick_ms, self.offer_s = TICK_MS * self.pace, OFFER_S * self.pace
+        self.rest_ms = REST_MS * self.pace  # an attempt too late is a reject as soon as a beat sees it
         self.controls: dict[str, Control] = {}
         self.calls: dict[str, Call] = {}
         self.held: list[Call] = []
@@ -202,7 +203,7 @@
         if self.born == -math.inf:
             self.born = now_ms
             phase = self.random.random()
-            self.tick_at, self.rest_at = now_ms + self.tick_ms * phase, now_ms + REST_MS * phase
+            self.tick_at, self.rest_at = now_ms + self.tick_ms * phase, now_ms + self.rest_ms * phase
             self.due(min(self.rest_at, self.tick_at), now_ms, out)
             if self.settings.subscribe:
                 out.append(api.Subscribe())
@@ -437,7 +438,7 @@
         waiting, self.held = [call for call in self.held if call.id in self.calls], []
         self.place(waiting, now, out)
         if now >= self.rest_at:
-            self.rest_at = now + REST_MS
+            self.rest_at = now + self.rest_ms
             self.ask(now, out)
         if now >= self.tick_at:
             self.tick_at = now + self.tick_ms
