--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
+import pathlib
 import random
 import signal
 from collections.abc import Callable
@@ -14,7 +16,8 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.log import PythonLoggingObserver
 
-from frostport.config import Config
+from frostport import config as configuration
+from frostport.config import Config, ConfigError
 from frostport.core import contracts
 from frostport.core.broker import Broker
 from frostport.core.clock import Clock
@@ -37,6 +40,9 @@
 CLOSING_MS = 900.0  # after SIGTERM: connections come for 0.4 s at most, requests for 0.2 s more
 LAST_ANSWER_MS = 3500.0  # after SIGTERM: what is open then is answered, SIGKILL comes from 3.7 s on
 FLUSH_MS = 50.0  # for the last answers to leave
+OWN_SOCKETS = 64  # descriptors kept for servers, the event bus, peers and the program itself
+LIVE = ("bus", "sockets", "contracts")  # what a reload changes in the running program
+PAST = ("seed", "known", "offset")  # what only the start needs
 NEVER_S = 3600.0  # the endpoint's own timeout; the real one is a deadline
 
 
@@ -68,11 +74,12 @@
 
     def __init__(self, agent: Agent) -> None:
         self.agent, config = agent, agent.config
-        self.front = PlatformFront(agent.broker, agent.lifecycle, config.sockets // 2)
+        self.front = PlatformFront(agent.broker, agent.lifecycle, most_clients(config))
         self.servers = LobbyServers(agent.broker, self.front, agent.connect,
                                     config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS)
         agent.broker.route = self.servers
         self.list = ServerList(agent.broker, self.servers)
+        self.bus = EventBus(self.list, config.bus, agent.connect)
 
     def factory(self) -> Factory:
         return Accept(self.front.build)
@@ -85,8 +92,11 @@
             agent.reactor.listenUDP(port, peers, interface=host)
             agent.broker.tell = peers.tell
         self.list.known(config.known, config.offset)
-        if config.bus:
-            EventBus(self.list, config.bus, agent.connect).start()
+        self.bus.start()
+
+    def reload(self, config: Config) -> None:
+        self.bus.move(config.bus)
+        self.front.connections.limit = most_clients(config)
 
     def leave(self) -> None:
         """Nothing is said to anyone: calls that stand do so without this program."""
@@ -114,12 +124,20 @@
     def start(self) -> None:
         self.route.start()
 
+    def reload(self, config: Config) -> None:
+        """Peers are set up at the start: none of what they are changes here."""
+
     def leave(self) -> None:
         self.route.ending = True
         self.front.disconnect()
         self.route.disconnect()
 
 
+def most_clients(config: Config) -> int:
+    """How many client connections are held: enough descriptors are left for servers and the event bus."""
+    return max(config.sockets // 2, config.sockets - OWN_SOCKETS)
+
+
 class Accept(Factory):
     """Hands each accepted connection to a front."""
 
@@ -137,6 +155,7 @@
 
     def __init__(self, config: Config, reactor: Any, clock: Clock | None = None) -> None:
         self.config, self.reactor = config, reactor
+        self.path: pathlib.Path | None = None  # the file that the configuration came from
         self.clock, self.deadlines = clock or Clock(), Deadlines()
         self.lifecycle = Lifecycle()
         given = contracts.applied(config.settings, config.contracts)
@@ -162,6 +181,33 @@
         self.side.start()
         self.lifecycle.enter(Phase.SERVING)
 
+    def reload(self) -> None:
+        """SIGHUP: reads the whole file again. All of it is valid and in force at once, or nothing changes."""
+        if self.lifecycle.phase is not Phase.SERVING or self.path is None:
+            log.info("reload: not while %s", self.lifecycle.phase.value)
+            return
+        try:
+            new = configuration.load(self.path)
+        except ConfigError as problem:
+            log.error("reload: configuration kept: %s", problem)
+            return
+        except Exception:  # guards the calls that are open against a file that breaks its reader
+            log.exception("reload: configuration kept")
+            return
+        old, names = self.config, [item.name for item in dataclasses.fields(Config)]
+        changed = [name for name in names if name not in PAST and getattr(old, name) != getattr(new, name)]
+        fixed = [name for name in changed if name not in LIVE]
+        if "contracts" in changed and promises(old) != promises(new):
+            fixed.append("contracts")  # the decisions were made for the aims and deadlines of the start
+        if fixed:
+            log.warning("reload: not changed before the next start: %s", ", ".join(fixed))
+        self.config = dataclasses.replace(
+            old, **{name: getattr(new, name) for name in LIVE if name not in fixed})
+        if "contracts" not in fixed:
+            self.broker.budgets.replace(new.contracts)
+        self.side.reload(self.config)
+        log.info("reload: done; changed: %s", ", ".join(set(changed) - set(fixed)) or "nothing")
+
     def terminate(self) -> None:
         """SIGTERM: serves on for what still comes, answers all that was taken, then ends."""
         if self.lifecycle.phase is Phase.SERVING:
@@ -190,24 +236,31 @@
             self.deadlines.set(self.clock.now() + FLUSH_MS, lambda: self.lifecycle.enter(Phase.STOPPED))
 
 
+def promises(config: Config) -> dict[str, tuple[float, float]]:
+    """What the contracts say of aims and deadlines."""
+    return {contract.service: (contract.aim_ms, contract.deadline_ms) for contract in config.contracts}
+
+
 def report_faults() -> None:
     """What Twisted catches, a fault in a callback say, goes to the same log."""
     observer: Any = PythonLoggingObserver
     observer("frostport.twisted").start()
 
 
-def serve(config: Config, reactor: Any = None) -> int:
+def serve(config: Config, path: pathlib.Path | None = None, reactor: Any = None) -> int:
     """Runs a call agent until it is told to end."""
     if reactor is None:
         from twisted.internet import reactor
     report_faults()
     agent = Agent(config, reactor)
+    agent.path = path
 
     def on_term(signum: int, frame: object) -> None:
         reactor.callFromThread(agent.terminate)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_term)
+    signal.signal(signal.SIGHUP, lambda signum, frame: reactor.callFromThread(agent.reload))
     reactor.callWhenRunning(guard, agent.start, reactor)
     reactor.run(installSignalHandlers=False)
     return 0 if agent.lifecycle.phase is Phase.STOPPED else 1
--- a/frostport/cli.py
+++ b/frostport/cli.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import pathlib
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -41,7 +42,10 @@
                       f"deadline {contract.deadline_ms:g} ms, {contract.attempts} attempts, "
                       f"{contract.set_ups_per_second:g} set-ups a second for each team")
             return 0
-        loaded = config.load(config.find_path(getattr(given, "config", None), os.environ))
+        path = config.find_path(getattr(given, "config", None), os.environ)
+        if given.command != "check-config":
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what it asks for is done already, at the start
+        loaded = config.load(path)
     except config.ConfigError as problem:
         what = "contracts" if given.command == "contracts" else "configuration"
         print(f"frostport: {what}: {problem}", file=sys.stderr)
@@ -53,4 +57,4 @@
     from frostport.agent import serve
 
     gc.freeze()  # what was imported stays: the collector need not look at it again
-    return serve(loaded)
+    return serve(loaded, path)
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
 import pathlib
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -14,9 +16,13 @@
 from frostport import settings
 from frostport.core import contracts
 from frostport.core.contracts import Contract, ContractError
+from frostport.net.bus import parse
+from frostport.net.jsonl import BadLineError
 from frostport.settings import SettingsError
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
+SOCKETS_LEAST = 32
+NUMERIC = re.compile(r"[0-9.]+\Z")
 WATCHDOG_LEAST_MS = 6000.0
 
 
@@ -79,7 +85,10 @@
         raise ConfigError(f"file: {problem.strerror or problem}") from None
     except orjson.JSONDecodeError as problem:
         raise ConfigError(f"file: not JSON: {problem}") from None
-    return read(record, path.parent)
+    try:
+        return read(record, path.parent)
+    except RecursionError:
+        raise ConfigError("file: nested too deep") from None
 
 
 def load_contracts(path: pathlib.Path) -> list[Contract]:
@@ -123,17 +132,24 @@
     for index, event in enumerate(batch):
         if not isinstance(event, dict):
             raise ConfigError(f"known.batch.{index}: not an object")
+        try:
+            parse(event)
+        except BadLineError as problem:
+            raise ConfigError(f"known.batch.{index}.{problem}") from None
     seed = record.get("seed", 0)
     try:
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
     except (TypeError, ValueError):
         raise ConfigError("seed: neither hex text nor a number") from None
     peers = field(record, "peers", list, [])
+    sockets = field(field(record, "limits", dict, {}), "sockets", int, 1024, "limits.")
+    if sockets < SOCKETS_LEAST:
+        raise ConfigError(f"limits.sockets: under {SOCKETS_LEAST}")
     return Config(
         name=field(record, "name", str, ""), listen=address(record, "listen") or "",
         seed=seed, settings=given,
         drain_grace_ms=grace,
-        sockets=field(field(record, "limits", dict, {}), "sockets", int, 1024, "limits."),
+        sockets=sockets,
         bus=address(record, "bus", optional=True), known=batch,
         offset=field(known, "offset", int, 0, "known."),
         peer_listen=address(record, "peer_listen", optional=True),
@@ -197,6 +213,11 @@
 def check_address(name: str, value: object) -> str:
     """`host:port`, as given."""
     host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not colon or not port.isdigit() or not 0 <= int(port) < 65536:
+    if not host or not colon or not port.isdecimal() or len(port) > 5 or not 0 <= int(port) < 65536:
         raise ConfigError(f"{name}: not host:port: {value!r}")
+    if NUMERIC.match(host):
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError:
+            raise ConfigError(f"{name}: no IPv4 address: {host!r}") from None
     return str(value)
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -26,7 +26,7 @@
 
 Body = str | bytes  # a description, opaque here: each front is paired with a route that knows its form
 
-REMEMBER_MS = 120_000.0  # how long an ended call's id is known: releases may be repeated on later connections
+REMEMBER_MS = 60_000.0  # how long an ended call's id is known: releases may be repeated on later connections
 OVERDUE_MS = 10.0  # a request still open this long after its caller's time gets its answer from the broker
 
 
@@ -61,6 +61,7 @@
     attempts: int = 0
     attempt: Attempt | None = None  # the one that is out, or on which the call stands
     not_before: float = 0.0
+    last_link: int = -1  # the route's number of the connection that the last attempt went out on
     overdue: Deadline | None = None
     stood_at: float = 0.0
 
@@ -169,6 +170,12 @@
         self._feed(api.CallGone(request.id), request)
         self._withdraw(request)
 
+    def fail(self, request: Request) -> None:
+        """Answers a call without the module, which is told that nothing is owed any more."""
+        if request.state is State.OPEN:
+            self._give_final(request, lambda request: request.front.failed(request))
+            self._feed(api.CallGone(request.id), request)
+
     def release(self, request: Request) -> None:
         """The client ends a call that stands."""
         attempt = request.attempt
@@ -378,8 +385,7 @@
         """Guards against a call that the module has lost sight of."""
         if request.state is State.OPEN:
             log.warning("%s overdue: answered by the broker", request.id)
-            self._give_final(request, lambda request: request.front.failed(request))
-            self._feed(api.CallGone(request.id), request)
+            self.fail(request)
 
     def _give_final(self, request: Request, say: Callable[[Request], None]) -> None:
         self._close(request)
--- a/frostport/core/contracts.py
+++ b/frostport/core/contracts.py
@@ -17,6 +17,7 @@
 EXTENSION = "x-frostport-contract"
 METHODS = ("get", "put", "post", "delete", "options", "head", "patch", "trace")
 FIELDS = ("class", "aim_ms", "deadline_ms", "attempts", "set_ups_per_second")
+BUCKETS_MOST = 1000  # more than so many are looked through for those that may go
 BURST_S = 1.0  # a team may spend so many seconds' budget at once
 
 
@@ -126,12 +127,25 @@
         most = max(1.0, contract.set_ups_per_second * BURST_S)
         tokens, at = self._buckets.get((team, service), (most, now))
         tokens = min(most, tokens + (now - at) / 1000.0 * contract.set_ups_per_second)
+        if len(self._buckets) >= BUCKETS_MOST:
+            self._prune(now)
         if tokens >= 1.0:
             self._buckets[team, service] = (tokens - 1.0, now)
             return 0.0
         self._buckets[team, service] = (tokens, now)
         return (1.0 - tokens) / contract.set_ups_per_second * 1000.0
 
+    def _prune(self, now: float) -> None:
+        """Guards against team names without end: a bucket that is full again is as good as none."""
+        rates = {service: contract.set_ups_per_second for service, contract in self.contracts.items()}
+        self._buckets = {key: (tokens, at) for key, (tokens, at) in self._buckets.items()
+                         if tokens + (now - at) / 1000.0 * rates[key[1]] < max(1.0, rates[key[1]] * BURST_S)}
+
+    def replace(self, contracts: Iterable[Contract]) -> None:
+        """Other contracts from now on; what was spent stays spent."""
+        self.contracts = {contract.service: contract for contract in contracts}
+        self._buckets = {key: bucket for key, bucket in self._buckets.items() if key[1] in self.contracts}
+
     def deadline_ms(self, service: str, left_ms: float) -> float:
         contract = self.contracts.get(service)
         return left_ms if contract is None else min(left_ms, contract.deadline_ms)
--- a/frostport/core/rules.py
+++ b/frostport/core/rules.py
@@ -55,6 +55,8 @@
                 if address not in named:
                     told.stop_at = now if told.stop_at is None else told.stop_at
                     removed.add(address)
+        for address in removed:
+            del self.servers[address]  # the list names ever new ones: nothing is kept of one that has left
         return removed
 
     def against(self, request: Request, server: str, within_ms: float, now: float) -> str | None:
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -19,7 +19,8 @@
 log = logging.getLogger("frostport.bus")
 
 REDIAL_MS = 200.0
-SILENT_MS = 3000.0  # a line comes each second: this long without one, the connection is given up
+CONNECT_MS = 1000.0  # a connection that is not up by then is dialed anew
+SILENT_MS = 2500.0  # a line comes each second: this long without a whole one, the connection is given up
 
 
 class ServerList:
@@ -45,7 +46,7 @@
     def event(self, record: dict[str, Any]) -> None:
         """One later event; one that was heard before is passed over."""
         offset = record.get("offset")
-        if not isinstance(offset, int):
+        if isinstance(offset, bool) or not isinstance(offset, int):
             raise BadLineError("offset: not a whole number")
         if offset <= self.offset:
             return
@@ -88,12 +89,11 @@
     peer = "event bus"
 
     def __init__(self, bus: EventBus) -> None:
-        super().__init__()
+        super().__init__(bus.clock, bus.deadlines)
         self.bus = bus
 
     def opened(self) -> None:
-        self.write(b"from %d\n" % self.bus.list.offset)
-        self.bus.heard(self)
+        self.bus.up(self)
 
     def line(self, line: bytes) -> None:
         self.bus.heard(self)
@@ -103,9 +103,13 @@
             raise BadLineError("not JSON") from None
         if isinstance(record, dict):
             self.bus.list.event(record)
-        elif not isinstance(record, int):
+        elif isinstance(record, bool) or not isinstance(record, int):
             raise BadLineError("neither an event nor a number")
 
+    def malformed(self, problem: BadLineError) -> None:
+        # Guards against an event lost for good: what follows it would be applied, its number passed over.
+        self.drop()
+
     def closed(self) -> None:
         self.bus.lost(self)
 
@@ -113,33 +117,60 @@
 class EventBus:
     """Keeps one connection to the event bus, and asks each new one for what came since the last event."""
 
-    def __init__(self, server_list: ServerList, address: str,
+    def __init__(self, server_list: ServerList, address: str | None,
                  connect: Callable[[str, BusConnection], defer.Deferred[object]]) -> None:
         self.list, self.address, self.connect = server_list, address, connect
         self.clock, self.deadlines = server_list.broker.clock, server_list.broker.deadlines
-        self._watch: Deadline | None = None
+        self.connection: BusConnection | None = None
+        self.dialing: defer.Deferred[object] | None = None
+        self._wait: Deadline | None = None  # the next dial, or the end of a silence
 
     def start(self) -> None:
-        dialing = self.connect(self.address, BusConnection(self))
-        limit = self.deadlines.set(self.clock.now() + SILENT_MS, dialing.cancel)
+        if self.address is None:
+            return
+        connection = self.connection = BusConnection(self)
+        dialing = self.dialing = self.connect(self.address, connection)
+        self._await(CONNECT_MS, dialing.cancel)
 
-        def settled(result: object) -> object:
-            limit.cancel()
-            return result
+        def failed(failure: Failure) -> None:
+            if self.connection is connection:
+                self._await(REDIAL_MS, self.start)
 
-        dialing.addBoth(settled)
-        dialing.addErrback(self._failed)
+        dialing.addErrback(failed)
 
-    def _failed(self, failure: Failure) -> None:
-        self.deadlines.set(self.clock.now() + REDIAL_MS, self.start)
+    def move(self, address: str | None) -> None:
+        """Another address from now on: the numbers go on there, and the old connection is left."""
+        if address == self.address:
+            return
+        log.info("event bus: %s from now on, from %d", address, self.list.offset)
+        self.address = address
+        old, self.connection = self.connection, None
+        dialing, self.dialing = self.dialing, None
+        if self._wait is not None:
+            self._wait.cancel()
+        if dialing is not None:
+            dialing.cancel()
+        if old is not None:
+            old.drop()
+        self.start()
+
+    def _await(self, ms: float, action: Callable[[], None]) -> None:
+        if self._wait is not None:
+            self._wait.cancel()
+        self._wait = self.deadlines.set(self.clock.now() + ms, action)
+
+    def up(self, connection: BusConnection) -> None:
+        if connection is not self.connection:
+            connection.drop()  # it came up after its address was left
+            return
+        connection.write(b"from %d\n" % self.list.offset)
+        self.heard(connection)
 
     def heard(self, connection: BusConnection) -> None:
-        if self._watch is not None:
-            self._watch.cancel()
-        self._watch = self.deadlines.set(self.clock.now() + SILENT_MS, connection.drop)
+        if connection is self.connection:
+            self._await(SILENT_MS, connection.drop)
 
     def lost(self, connection: BusConnection) -> None:
-        log.warning("event bus lost; again from %d", self.list.offset)
-        if self._watch is not None:
-            self._watch.cancel()
-        self.deadlines.set(self.clock.now() + REDIAL_MS, self.start)
+        if connection is self.connection:
+            log.warning("event bus lost; again from %d", self.list.offset)
+            self._await(REDIAL_MS, self.start)
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -4,9 +4,13 @@
 
 import logging
 import math
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 from frostport import interface as api
 from frostport.core.broker import Body, Broker, Request, State
+from frostport.core.deadlines import Deadline
 from frostport.core.lifecycle import Lifecycle
 from frostport.core.slots import Slots
 from frostport.interface import Outcome
@@ -16,27 +20,99 @@
 log = logging.getLogger("frostport.front")
 
 REPEAT_MS = 8000.0  # a release not yet heard is sent again on another connection for so long
+UNHEARD_MS = 250.0  # after this long without a word on it
+FIRST_LINE_MS = 2000.0  # a connection that has said nothing whole by then is closed
+HALF_LINE_MS = 2000.0  # so is one that stops in the middle of a line
+STUCK_MS = 2000.0  # and one that does not read what is sent to it
+LAST_WORDS_MS = 1000.0  # for what was said before a close to leave
+STRIKES = 3  # set-ups that can't be used, on one connection, before it is closed
+OPEN_MOST = 100  # open set-ups on one connection: it is refused more
+LONGEST_TEXT = jsonl.MAX_LINE - 512  # a set-up of this size still fits a line when it goes on
+KEEP_MS = 60_000.0  # one that could be told nobody is kept so long for the next that connects
+KEY = re.compile(r"[0-9a-fA-F]{1,16}\Z")
+WHOLE = re.compile(r"-?[0-9]{1,9}\Z")
 CAUSES = {Outcome.OK: jsonl.NORMAL, Outcome.CANCELLED: jsonl.NORMAL}
+# The figures of a set-up, and how far each may go; the pool of first choice is also looked up.
+FIGURES = {"dest": (-1, 0xFFFF), "width": (1, 0xFFFF), "via": (-1, 0xFFFF), "again": (0, 1)}
+
+
+@dataclass(slots=True)
+class Owed:
+    """A release that no client has confirmed yet."""
+
+    cause: int
+    since: float
+    slot: int  # the connection it went out on, -1: none
+    host: str  # where the call's client connects from
+    said_at: float = 0.0
 
 
 class ClientConnection(LineConnection):
     """One connection of clients; it carries many calls and owns none that stands."""
 
     def __init__(self, front: PlatformFront) -> None:
-        super().__init__()
+        super().__init__(front.broker.clock, front.broker.deadlines)
         self.front = front
         self.slot = -1
+        self.host = ""
+        self.open: dict[str, Request] = {}
+        self.heard_at = 0.0  # the last whole line
+        self.spoke = False  # a well-formed message has come
+        self.known = False  # a call has stood here, or a release was heard: a usual client's
+        self.strikes = 0
+        self._limit: Deadline | None = None
 
     def opened(self) -> None:
         self.slot = self.front.connections.add(self)
         self.peer = f"client connection {self.slot}"
-        self.front.flush()
+        self.host = str(getattr(self.transport.getPeer(), "host", ""))
+        self.heard_at = self.clock.now()
+        self.transport.registerProducer(self, True)
+        # Guards against connections that come by hundreds and say nothing, or half a line.
+        self._await(FIRST_LINE_MS)
+
+    def _await(self, ms: float | None) -> None:
+        if self._limit is not None:
+            self._limit.cancel()
+        self._limit = None if ms is None else self.deadlines.set(self.clock.now() + ms, self.drop)
 
     def closed(self) -> None:
+        self._await(None)
         self.front.lost(self)
 
+    # As the producer of what is written to it
+
+    def pauseProducing(self) -> None:  # noqa: N802 (Twisted's name)
+        """Guards against a client that asks and does not read: no more is read from it until it does."""
+        self.stuck = True
+        if self.alive:
+            self.transport.pauseProducing()
+            self._await(STUCK_MS)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.stuck = False
+        if self.alive:
+            self._await(None)
+            self.read_on()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        pass
+
+    # What it says
+
+    def read(self) -> None:
+        if not self.lines.partial:
+            if self.spoke and not self.stuck:
+                self._await(None)
+        elif self._limit is None:
+            self._await(HALF_LINE_MS)
+
     def line(self, line: bytes) -> None:
         message = jsonl.decode(line)
+        self.heard_at = self.clock.now()
+        if not self.spoke:
+            self.spoke = True
+            self.front.flush()
         match message.verb:
             case "START":
                 try:
@@ -46,7 +122,7 @@
             case "FINISH":
                 self.front.finish(self, message)
             case "FINISHED":
-                self.front.owed.pop(message.tag, None)
+                self.front.heard(self, message.tag)
             case "ECHO":
                 self.say(Message("ECHOED", message.tag, rc=int(self.front.serving())))
             case "PENDING" | "ECHOED":
@@ -55,8 +131,44 @@
                 raise BadLineError(f"verb: unknown: {message.verb}", line)
 
     def malformed(self, problem: BadLineError) -> None:
-        if problem.is_start and problem.tag and self.front.broker.find(problem.tag) is None:
-            self.say(Message("FINISH", problem.tag, rc=jsonl.OVERLOADED))
+        self.strikes += 1
+        named = problem.is_start and problem.tag is not None
+        if named and self.front.broker.find(problem.tag or "") is None:
+            self.say(Message("FINISH", problem.tag or "", rc=jsonl.OVERLOADED))
+        if not named or self.lines.ended or self.strikes >= STRIKES:
+            self.hang_up()
+
+    def usable(self) -> bool:
+        """Whether a release may be told here."""
+        return self.alive and self.spoke and not self.stuck
+
+    def hang_up(self) -> None:
+        """Closes once what was said has left; the open set-ups go with it."""
+        if self.alive:
+            self.alive = False
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+            if self._limit is not None:
+                self._limit.cancel()
+            self._limit = self.deadlines.set(
+                self.clock.now() + LAST_WORDS_MS, self.transport.abortConnection)
+
+
+def set_up_figures(text: str, pools: Iterable[int] | None) -> dict[str, int]:
+    """The figures in `extras`; guards the module and the servers behind it against any out of range."""
+    found = {}
+    for pair in text.split(";") if text else ():
+        name, colon, value = pair.partition(":")
+        if name in FIGURES or not colon:
+            if not WHOLE.match(value):
+                raise BadLineError(f"opts.extras: {pair[:40]!r}: not a whole number")
+            least, most = FIGURES[name]
+            if not least <= int(value) <= most:
+                raise BadLineError(f"opts.extras: {pair[:40]!r}: out of range")
+            found[name] = int(value)
+    if pools is not None and found.get("dest", -1) not in (-1, *pools):
+        raise BadLineError(f"opts.extras: no pool {found['dest']} for this class")
+    return found
 
 
 class PlatformFront:
@@ -65,44 +177,64 @@
     def __init__(self, broker: Broker, lifecycle: Lifecycle, connection_limit: int | None = None) -> None:
         self.broker, self.lifecycle = broker, lifecycle
         self.connections: Slots[ClientConnection] = Slots(connection_limit)
-        # Releases not yet heard: cause, since when, and the connection's slot (-1: none could be used).
-        self.owed: dict[str, tuple[int, float, int]] = {}
+        self.owed: dict[str, Owed] = {}
+        self._sweep: Deadline | None = None
+        settings = broker.rules.settings
+        self.longest_ms = max((cls.deadline_ms for cls in settings.classes), default=0.0)
 
     def serving(self) -> bool:
         return self.lifecycle.phase.value == "serving"
 
     def build(self) -> ClientConnection | None:
-        """A protocol for a new connection, or None where the table is full: it is closed at once."""
-        return None if self.connections.full() else ClientConnection(self)
+        """A protocol for a new connection; where the table is full, an idle one makes room for it."""
+        if self.connections.full():
+            # Guards the usual clients, who come anew all the time, against those who only hold connections.
+            idle = [at for at in self.connections if not at.open and at.alive]
+            if not idle:
+                return None
+            last = min(idle, key=lambda at: (at.spoke, at.heard_at))
+            last.drop()
+            self.lost(last)
+        return ClientConnection(self)
 
     # From clients
 
     def start(self, connection: ClientConnection, message: Message) -> None:
-        broker = self.broker
-        if broker.find(message.tag) is not None:
-            log.warning("%s: set-up %s came again: ignored", connection.peer, message.tag)
+        broker, tag, opts = self.broker, message.tag, message.opts
+        if (known := broker.find(tag)) is not None:
+            self.twice(connection, known)
             return
-        name = message.opts.get("class", "")
-        left = jsonl.figures(f"left:{message.opts.get('left', '')}").get("left", math.nan)
+        name, key = opts.get("class", ""), opts.get("key", "")
+        left = jsonl.figures(f"left:{opts.get('left', '')}").get("left", math.nan)
         if name not in broker.rules.pools:
-            raise BadLineError(f"opts.class: unknown: {name!r}")
-        if not math.isfinite(left):
-            raise BadLineError("opts.left: not a number")
-        key = message.opts.get("key", "")
-        try:
-            called = int(key, 16) if key else 0
-        except ValueError:
-            raise BadLineError(f"opts.key: not hex: {key!r}") from None
-        extras = jsonl.figures(message.opts.get("extras", ""))
-        if not self.lifecycle.takes():
-            connection.say(Message("FINISH", message.tag, rc=jsonl.OVERLOADED))
+            raise BadLineError(f"opts.class: unknown: {name[:40]!r}")
+        if not 0.0 < left <= self.longest_ms * 2.0:
+            raise BadLineError("opts.left: no time that a caller could wait")
+        if key and not KEY.match(key):
+            raise BadLineError("opts.key: not 16 hex digits")
+        if message.blob is None or len(message.blob.encode()) + len(name) > LONGEST_TEXT:
+            raise BadLineError("blob: no description, or one too long to go on")
+        figures = set_up_figures(opts.get("extras", ""), broker.rules.pools[name])
+        if not self.lifecycle.takes() or len(connection.open) >= OPEN_MOST:
+            connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             return
-        now = broker.clock.now()
-        request = Request(message.tag, name, key, message.blob or "", now + left, self, connection.slot,
-                          message.opts.get("tenant", "-"))
+        team = opts.get("tenant", "-")
+        request = Request(tag, name, key, message.blob, broker.clock.now() + left, self, connection.slot,
+                          team)
+        connection.open[tag] = request
         broker.arrive(request, api.CallArrived(
-            message.tag, name, message.opts.get("tenant", "-"), left, int(extras.get("dest", -1)), called,
-            redial=message.opts.get("retry", "0") not in ("", "0"), cut_before=bool(extras.get("again", 0))))
+            tag, name, team, left, figures.get("dest", -1), int(key, 16) if key else 0,
+            redial=opts.get("retry", "0") not in ("", "0"), cut_before=bool(figures.get("again", 0))))
+
+    def twice(self, connection: ClientConnection, known: Request) -> None:
+        """Guards against an id that is open or stands: which one an answer is for, nobody could tell."""
+        connection.complaints.say(
+            self.broker.clock.now(), connection.peer, f"set-up {known.id} came again")
+        if known.front is not self or known.place != connection.slot:
+            connection.say(Message("FINISH", known.id, rc=jsonl.OVERLOADED))
+        elif known.state is State.OPEN:
+            self.broker.fail(known)
+        connection.hang_up()
 
     def finish(self, connection: ClientConnection, message: Message) -> None:
         """A give-up before the answer, or the release of a call that stands, on any connection."""
@@ -112,30 +244,46 @@
             self.owed.pop(message.tag, None)
             self.broker.release_unknown(message.tag)
         elif request.state is State.OPEN:
+            self._answered(request)
             self.broker.gone(request)
         else:
             self.broker.release(request)
         connection.say(Message("FINISHED", message.tag))
 
+    def heard(self, connection: ClientConnection, tag: str) -> None:
+        if self.owed.pop(tag, None) is not None:
+            connection.known = True
+
     def lost(self, connection: ClientConnection) -> None:
         """The open set-ups of a connection go with it; what is owed on it goes to another."""
+        if self.connections.get(connection.slot) is not connection:
+            return  # it made room for another already
         self.connections.free(connection.slot)
-        for request in self.broker.requests:
-            if request.state is State.OPEN and request.place == connection.slot and request.front is self:
-                self.broker.gone(request)
-        for tag, (cause, since, slot) in self.owed.items():
-            if slot == connection.slot:
-                self.owed[tag] = (cause, since, -1)
+        opened, connection.open = list(connection.open.values()), {}
+        for request in opened:
+            self.broker.gone(request)
+        for owed in self.owed.values():
+            if owed.slot == connection.slot:
+                owed.slot = -1
         self.flush()
 
     # From the broker
 
-    def _say(self, request: Request, message: Message) -> None:
+    def _answered(self, request: Request) -> ClientConnection | None:
         connection = self.connections.get(request.place)
+        if connection is not None:
+            connection.open.pop(request.id, None)
+        return connection
+
+    def _say(self, request: Request, message: Message) -> None:
+        connection = self._answered(request)
         if connection is not None:
             connection.say(message)
 
     def stands(self, request: Request, description: Body) -> None:
+        connection = self.connections.get(request.place)
+        if connection is not None:
+            connection.known = True
         self._say(request, Message("STARTED", request.id, blob=str(description)))
 
     def refused(self, request: Request, stay_away_ms: float) -> None:
@@ -146,20 +294,43 @@
         self._say(request, Message("FINISH", request.id, rc=jsonl.BROKEN))
 
     def over(self, call: str, place: int, outcome: Outcome) -> None:
-        self.owed[call] = (CAUSES.get(outcome, jsonl.BROKEN), self.broker.clock.now(), -1)
-        self.flush(place)
-
-    def flush(self, place: int = -1) -> None:
-        """Sends the releases owed that are on no connection: on the call's own if it is open, else on any."""
-        waiting = [tag for tag, (_, _, slot) in self.owed.items() if slot < 0]
         connection = self.connections.get(place)
-        if not waiting or (connection is None and not len(self.connections)):
-            return
-        connection = connection or next(iter(self.connections))
-        now = self.broker.clock.now()
-        for tag in waiting:
-            cause, since, _ = self.owed[tag]
-            connection.say(Message("FINISH", tag, rc=cause))
-            self.owed[tag] = (cause, since, connection.slot)
-        self.owed = {tag: owed for tag, owed in self.owed.items()
-                     if owed[2] < 0 or now - owed[1] < REPEAT_MS}
+        host = connection.host if connection is not None else ""
+        self.owed[call] = Owed(CAUSES.get(outcome, jsonl.BROKEN), self.broker.clock.now(), place, host)
+        self._tell(call, connection if connection is not None and connection.usable() else None)
+        self._watch()
+
+    def _tell(self, call: str, connection: ClientConnection | None) -> None:
+        """Says a release on a connection, else on the best one there is."""
+        owed, now = self.owed[call], self.broker.clock.now()
+        chosen = connection or self.best(owed)
+        owed.slot, owed.said_at = -1, now
+        if chosen is not None and chosen.say(Message("FINISH", call, rc=owed.cause)):
+            owed.slot = chosen.slot
+
+    def best(self, owed: Owed) -> ClientConnection | None:
+        """A usual client's connection, of the call's own client if it has one, and not the last one tried.
+
+        Guards against telling those who never asked: they would not pass it on."""
+        usable = [at for at in self.connections if at.usable()]
+        return max(usable, key=lambda at: (at.known, at.slot != owed.slot, at.host == owed.host, at.heard_at),
+                   default=None)
+
+    def flush(self) -> None:
+        """Sends the releases owed that are on no connection."""
+        for call in [call for call, owed in self.owed.items() if owed.slot < 0]:
+            self._tell(call, None)
+
+    def _watch(self) -> None:
+        if self._sweep is None and self.owed:
+            self._sweep = self.broker.deadlines.set(self.broker.clock.now() + UNHEARD_MS, self._again)
+
+    def _again(self) -> None:
+        """Guards against releases told to a client that does not hear: another one is told, for a while."""
+        self._sweep, now = None, self.broker.clock.now()
+        self.owed = {call: owed for call, owed in self.owed.items()
+                     if now - owed.since < (KEEP_MS if owed.slot < 0 else REPEAT_MS)}
+        for call, owed in self.owed.items():
+            if now - owed.said_at >= max(UNHEARD_MS, owed.said_at - owed.since):  # at doubling gaps
+                self._tell(call, None)
+        self._watch()
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -4,6 +4,7 @@
 
 import logging
 import re
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -11,10 +12,15 @@
 from twisted.internet import interfaces, protocol
 from twisted.python.failure import Failure
 
+from frostport.core.clock import Clock
+from frostport.core.deadlines import Deadline, Deadlines
+
 log = logging.getLogger("frostport.net")
 
 MAX_LINE = 16 * 1024
+LINES_A_TURN = 50
 TAG = re.compile(r"[0-9a-fA-F]{16}\Z")
+TEXTS = ("class", "key", "extras", "tenant", "load", "note")  # fields that are never bare numbers
 TAG_INSIDE = re.compile(rb'"tag"\s*:\s*"([0-9a-fA-F]{16})"')
 START_INSIDE = re.compile(rb'"verb"\s*:\s*"START"')
 
@@ -71,10 +77,16 @@
     for name, value in opts.items():
         if isinstance(value, bool) or not isinstance(value, str | int | float):
             raise BadLineError(f"opts.{name}: neither text nor number", line)
+        if name in TEXTS and not isinstance(value, str):
+            raise BadLineError(f"opts.{name}: not text", line)
     if rc is not None and (isinstance(rc, bool) or not isinstance(rc, int)):
         raise BadLineError("rc: not a whole number", line)
     if blob is not None and not isinstance(blob, str):
         raise BadLineError("blob: not text", line)
+    if verb == "STARTED" and blob is None:
+        raise BadLineError("blob: an answer without a description", line)
+    if verb == "FINISH" and rc is None:
+        raise BadLineError("rc: a release without a cause", line)
     return Message(verb, tag, {name: str(value) for name, value in opts.items()}, rc, blob)
 
 
@@ -91,35 +103,55 @@
 
 
 class Lines:
-    """Cuts a stream into lines. A line that grows past the limit is dropped, and said once."""
+    """Cuts a stream into lines. One that grows past the limit ends the stream: what follows is not kept."""
 
     def __init__(self, limit: int = MAX_LINE) -> None:
         self._limit = limit
-        self._parts = bytearray()
-        self._skipping = False
+        self._rest = b""
+        self.ended = False
 
     def feed(self, data: bytes) -> list[tuple[bytes, bool]]:
         """The lines that are whole now, each with whether it was too long (then only its head is given)."""
         lines: list[tuple[bytes, bool]] = []
-        start = 0
-        while (end := data.find(b"\n", start)) >= 0:
-            self._take(data[start:end], lines)
-            if not self._skipping:
-                lines.append((bytes(self._parts), False))
-            self._parts.clear()
-            self._skipping = False
-            start = end + 1
-        self._take(data[start:], lines)
+        if self.ended:
+            return lines
+        *whole, self._rest = (self._rest + data).split(b"\n")
+        for line in whole:
+            if len(line) >= self._limit:
+                self._end(line, lines)
+                return lines
+            lines.append((line, False))
+        if len(self._rest) >= self._limit:
+            self._end(self._rest, lines)
         return lines
 
-    def _take(self, piece: bytes, lines: list[tuple[bytes, bool]]) -> None:
-        if self._skipping:
-            return
-        self._parts += piece
-        if len(self._parts) >= self._limit:
-            lines.append((bytes(self._parts[:self._limit]), True))
-            self._parts.clear()
-            self._skipping = True
+    def _end(self, line: bytes, lines: list[tuple[bytes, bool]]) -> None:
+        """Guards against lines without end: nothing after the first that is too long can be trusted."""
+        self.ended, self._rest = True, b""
+        lines.append((line[:self._limit], True))
+
+    @property
+    def partial(self) -> bool:
+        """Whether a line has begun and not ended."""
+        return bool(self._rest)
+
+
+class Complaints:
+    """One log line for each malformed line, but no more than a few a second in a flood."""
+
+    MOST, SPAN_MS = 10, 1000.0
+
+    def __init__(self) -> None:
+        self._since, self._count = 0.0, 0
+
+    def say(self, now: float, peer: str, problem: object) -> None:
+        if now - self._since >= self.SPAN_MS:
+            if self._count > self.MOST:
+                log.warning("%d more malformed lines not logged", self._count - self.MOST)
+            self._since, self._count = now, 0
+        self._count += 1
+        if self._count <= self.MOST:
+            log.warning("%s: malformed: %s", peer, problem)
 
 
 class LineConnection(protocol.Protocol):
@@ -127,10 +159,16 @@
 
     peer = "?"
     transport: Any = None
+    complaints = Complaints()
 
-    def __init__(self) -> None:
-        self._lines = Lines()
+    def __init__(self, clock: Clock, deadlines: Deadlines) -> None:
+        self.clock, self.deadlines = clock, deadlines
+        self.lines = Lines()
         self.alive = False
+        self.stuck = False  # what is written waits for the other side to read: nothing more is read from it
+        self.turns = 0  # how often something was read: lines of one turn were written before they were read
+        self._waiting: deque[tuple[bytes, bool]] = deque()
+        self._again: Deadline | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
         self.alive = True
@@ -139,22 +177,54 @@
         self.opened()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        for line, oversize in self._lines.feed(data):
-            if not self.alive:
-                return
-            try:
-                if oversize:
-                    raise BadLineError(f"over {MAX_LINE} bytes", line)
-                if line.strip():
-                    self.line(line)
-            except BadLineError as problem:
-                log.warning("%s: line dropped: %s", self.peer, problem)
-                self.malformed(problem)
-            except Exception:  # a fault in one line costs that line, not the agent
-                log.exception("%s: line failed", self.peer)
+        if self.alive:
+            self.turns += 1
+            self._waiting.extend(self.lines.feed(data))
+            self._work()
+            if self.alive:
+                self.read()
+
+    def _work(self, most: int = LINES_A_TURN) -> None:
+        """Handles lines up to a number; then the others' turn comes, and nothing more is read until the next.
+
+        Guards against a peer that writes at full speed: it would keep the agent from everyone else."""
+        while self._waiting and self.alive and most:
+            most -= 1
+            self._one(*self._waiting.popleft())
+        if self._waiting and self.alive and self._again is None:
+            self.transport.pauseProducing()
+            self._again = self.deadlines.set(self.clock.now(), self._more)
+
+    def _more(self) -> None:
+        self._again = None
+        self._work()
+        if self.alive:
+            self.read_on()
+            self.read()
+
+    def read_on(self) -> None:
+        """Reads again, unless something still stands against it."""
+        if not self._waiting and not self.stuck:
+            self.transport.resumeProducing()
+
+    def _one(self, line: bytes, oversize: bool) -> None:
+        try:
+            if oversize:
+                raise BadLineError(f"over {MAX_LINE} bytes", line)
+            if line.strip():
+                self.line(line)
+        except BadLineError as problem:
+            self.complaints.say(self.clock.now(), self.peer, problem)
+            self.malformed(problem)
+        except Exception:  # a fault in one line costs that line, not the agent
+            log.exception("%s: line failed", self.peer)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
+        if self._again is not None:
+            self._again.cancel()
+        self._work(len(self._waiting))  # a release that was read before the connection closed still counts
         self.alive = False
+        self._waiting.clear()
         self.closed()
 
     def say(self, message: Message) -> bool:
@@ -167,8 +237,9 @@
         return True
 
     def drop(self) -> None:
-        """Closes at once."""
+        """Closes at once; nothing more is heard on it, also of what was read already."""
         if self.alive:
+            self.alive = False
             self.transport.abortConnection()
 
     def opened(self) -> None:
@@ -177,6 +248,9 @@
     def closed(self) -> None:
         """The connection is gone."""
 
+    def read(self) -> None:
+        """Something was read, and all its lines are handled."""
+
     def line(self, line: bytes) -> None:
         raise NotImplementedError
 
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -1,4 +1,4 @@
-"""The lobby servers' side of the platform's wire: one connection a server, set-ups, releases, reports."""
+"""The lobby servers' side of the platform's wire: connections, set-ups, releases, reports."""
 
 from __future__ import annotations
 
@@ -25,6 +25,8 @@
 
 log = logging.getLogger("frostport.lobby")
 
+CONNECTIONS_MOST = 4  # to one server
+HALF_LINE_MS = 300.0  # an answer that stops short for so long ends its connection
 CUT_MS = 100.0  # from a refused connection to the release of what stood there
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
 
@@ -40,44 +42,80 @@
 
 
 class ServerConnection(LineConnection):
-    """One connection to a lobby server."""
+    """One connection to a lobby server, and the attempts out on it."""
 
     def __init__(self, lobby: Lobby) -> None:
-        super().__init__()
+        super().__init__(lobby.servers.clock, lobby.servers.deadlines)
         self.lobby = lobby
         self.slot = -1
         self.opened_at = math.inf
         self.peer = lobby.host
+        self.out: dict[str, Attempt] = {}
+        self.sent_in: dict[str, int] = {}  # the turn in which each went out
+        self._half: Deadline | None = None
 
     def opened(self) -> None:
         self.lobby.up(self)
 
     def closed(self) -> None:
+        if self._half is not None:
+            self._half.cancel()
         self.lobby.down(self)
 
     def line(self, line: bytes) -> None:
         self.lobby.hear(self, jsonl.decode(line))
 
+    def read(self) -> None:
+        if self._half is not None and not self.lines.partial:
+            self._half.cancel()
+            self._half = None
+        elif self.lines.partial and self._half is None:
+            # Guards against an answer that stops short: what comes after it would never be read.
+            self._half = self.deadlines.set(self.clock.now() + HALF_LINE_MS, self.spoilt)
+
+    def malformed(self, problem: BadLineError) -> None:
+        # Guards against waiting on a connection that is of no further use: what is open on it ends too.
+        self.spoilt()
+
+    def spoilt(self) -> None:
+        self.drop()
+        self.lobby.down(self)
+
+    def start(self, attempt: Attempt, line: bytes) -> None:
+        attempt.link = self.slot
+        self.out[attempt.request.id] = attempt
+        self.sent_in[attempt.request.id] = self.turns
+        self.write(line)
+
+    def take(self, tag: str) -> Attempt | None:
+        """The attempt that an answer is for, no longer out here; None if it is for none.
+
+        Guards against second copies: what was read before an attempt went out can't be its answer."""
+        if tag not in self.out or self.sent_in[tag] == self.turns:
+            return None
+        del self.sent_in[tag]
+        return self.out.pop(tag)
+
 
 class Lobby:
-    """One lobby server: its connection, the attempts out on it, and what waits for a connection."""
+    """One lobby server: its connections, and what waits for one."""
 
     def __init__(self, servers: LobbyServers, host: str, dial: str) -> None:
         self.servers, self.host, self.dial = servers, host, dial
         self.broker = servers.broker
-        self.connection: ServerConnection | None = None
+        self.connections: list[ServerConnection] = []
         self.dialing: defer.Deferred[object] | None = None
         self.redial: Deadline | None = None
         self.waiting: list[Attempt] = []
         self.probes: list[int] = []
-        self.out: dict[str, Attempt] = {}
         self.owed: dict[str, int] = {}  # releases not sent for want of a connection
         self.listed = True
 
     # Connecting
 
     def connect(self) -> None:
-        if self.connection is not None or self.dialing is not None or not self.listed:
+        """Dials, unless a connection is on its way."""
+        if self.dialing is not None or not self.listed:
             return
         if self.redial is not None:
             self.redial.cancel()
@@ -101,7 +139,7 @@
         log.info("%s: no connection: %s", self.host, failure.type.__name__ if failure.type else failure.value)
         waiting, self.waiting = self.waiting, []
         probes, self.probes = self.probes, []
-        if refused:
+        if refused and not self.connections:
             # Guards against being ahead of the cuts themselves: a reset connection is heard before them.
             now = self.servers.clock.now()
             self.servers.deadlines.set(
@@ -113,7 +151,7 @@
         self._redial_later()
 
     def _redial_later(self) -> None:
-        if self.listed and self.connection is None and self.dialing is None:
+        if self.listed and not self.connections and self.dialing is None:
             if self.redial is not None:
                 self.redial.cancel()
             self.redial = self.servers.deadlines.set(self.servers.clock.now() + REDIAL_MS, self.connect)
@@ -125,7 +163,7 @@
         log.info("%s: connected", self.host)
         connection.opened_at = self.servers.clock.now()
         connection.slot = self.servers.connections.add(connection)
-        self.connection = connection
+        self.connections.append(connection)
         owed, self.owed = self.owed, {}
         for tag, cause in owed.items():
             connection.say(Message("FINISH", tag, rc=cause))
@@ -138,16 +176,16 @@
 
     def down(self, connection: ServerConnection) -> None:
         """The set-ups open on a connection that breaks are reset; calls that stand are not its own."""
-        if connection.slot < 0:
-            return
+        if connection not in self.connections:
+            return  # its loss has been dealt with
+        self.connections.remove(connection)
         self.servers.connections.free(connection.slot)
-        if self.connection is connection:
-            self.connection = None
-        log.info("%s: connection lost, %d set-ups open", self.host, len(self.out))
-        lost = [attempt for attempt in self.out.values() if attempt.link == connection.slot]
-        for attempt in lost:
-            del self.out[attempt.request.id]
+        out, connection.out = connection.out, {}
+        log.info("%s: connection lost, %d set-ups open", self.host, len(out))
+        for attempt in out.values():
             self.broker.ended(attempt, Outcome.RESET)
+        if self.connections:
+            return
         if self.servers.clock.now() >= connection.opened_at + REDIAL_MS:
             self.connect()
         else:  # guards against a server that closes each new connection at once
@@ -163,50 +201,52 @@
             self.dialing.cancel()
 
     def reset(self, before_ms: float, why: str) -> None:
-        """The process that ran before a time is gone: its connection, its set-ups and its calls with it."""
+        """The process that ran before a time is gone: its connections, its set-ups and its calls with it."""
         self.broker.cut(self.host, before_ms, why)
-        if self.connection is not None and self.connection.opened_at <= before_ms:
-            connection = self.connection
-            self.down(connection)
-            connection.slot = -1  # its loss has been dealt with
+        for connection in [at for at in self.connections if at.opened_at <= before_ms]:
             connection.drop()
+            self.down(connection)
 
     # Sending
 
     def send(self, attempt: Attempt) -> None:
-        connection, request = self.connection, attempt.request
-        if connection is None:
+        request, link = attempt.request, attempt.request.last_link
+        if not self.connections:
             self.waiting.append(attempt)
             self.connect()
             return
-        attempt.link = connection.slot
-        self.out[request.id] = attempt
+        # Guards against second copies of the last attempt's answer: elsewhere they are not this one's.
+        chosen = min(self.connections, key=lambda at: (len(at.out) + (at.slot == link), at.opened_at))
+        if chosen.out and len(self.connections) < CONNECTIONS_MOST:
+            self.connect()  # the fewer set-ups share a connection, the fewer break with it
         left = max(1, round(attempt.end_at - self.servers.clock.now()))
         opts = {"class": request.call_class, "left": str(left)}
         if request.key:
             opts["key"] = request.key
-        connection.say(Message("START", request.id, opts, blob=str(request.description)))
+        request.last_link = chosen.slot
+        chosen.start(attempt, Message("START", request.id, opts, blob=str(request.description)).encode())
 
     def give_up(self, attempt: Attempt) -> None:
         if attempt in self.waiting:
             self.waiting.remove(attempt)
             return
-        self.out.pop(attempt.request.id, None)
-        if self.connection is not None and self.connection.slot == attempt.link:
-            self.connection.say(Message("FINISH", attempt.request.id, rc=jsonl.NORMAL))
+        for connection in self.connections:
+            if connection.out.get(attempt.request.id) is attempt:
+                del connection.out[attempt.request.id], connection.sent_in[attempt.request.id]
+                connection.say(Message("FINISH", attempt.request.id, rc=jsonl.NORMAL))
 
     def release(self, tag: str, cause: int) -> None:
         """Ends a call that stands here: on any connection, on the next if none is open."""
-        if self.connection is None or not self.connection.say(Message("FINISH", tag, rc=cause)):
+        if not self.connections or not self.connections[0].say(Message("FINISH", tag, rc=cause)):
             self.owed[tag] = cause
             self.connect()
 
     def probe(self, number: int) -> None:
-        if self.connection is None:
+        if not self.connections:
             self.probes.append(number)
             self.connect()
         else:
-            self.connection.say(Message("ECHO", f"{number:016x}", rc=1))
+            self.connections[0].say(Message("ECHO", f"{number:016x}", rc=1))
 
     # Hearing
 
@@ -219,16 +259,14 @@
                      for name in self.broker.rules.settings.report_columns)
 
     def hear(self, connection: ServerConnection, message: Message) -> None:
-        attempt = self.out.get(message.tag)
-        if attempt is not None and attempt.link != connection.slot:
-            attempt = None
         match message.verb:
             case "STARTED":
-                self.answered(connection, message, attempt)
+                self.answered(connection, message, connection.take(message.tag))
             case "FINISH":
-                self.finished(connection, message, attempt)
+                self.finished(connection, message, connection.take(message.tag))
             case "LOAD":
-                if report := self.report(message):
+                # Each connection brings it: the module hears it once, as from the simulator.
+                if (report := self.report(message)) and connection is self.connections[0]:
                     self.broker.reported(self.host, report)
             case "ECHOED":
                 outcome = Outcome.OK if message.rc == 1 else Outcome.FULL
@@ -242,7 +280,6 @@
 
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is not None:
-            del self.out[message.tag]
             self.broker.stood(attempt, message.blob or "")
         elif (request := self.broker.find(message.tag)) is None or request.state is State.OPEN:
             # Guards against an answer that crosses our give-up: what it set up must not be left standing.
@@ -251,7 +288,6 @@
     def finished(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         request = self.broker.find(message.tag)
         if attempt is not None:
-            del self.out[message.tag]
             note = NOTES.get(message.opts.get("note", ""), 0)
             outcome = BEFORE.get(message.rc or 0, Outcome.ERROR)
             self.broker.ended(attempt, outcome, note, report=self.report(message))
