Bound what Diameter peers send and owe; make room for usual clients; test what churn leaves

Checked: the platform front's rules apply here too; a second copy was dropped by its hop-by-hop id already. Now: strangers have 2 s, half a message 2 s, 50 messages a turn, nothing is read from who does not read; a malformed answer ends its connection with all that is open on it. Tests: full table, flood, stuck readers, 58 servers replaced at two addresses with nothing left behind.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -113,19 +113,19 @@
         chance = random.Random(config.seed)
         numbers = {server.host: server.number for server in wanted.servers}
         self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
-                                   wanted.watchdog_ms, chance)
+                                   wanted.watchdog_ms, chance, most_clients(config))
         self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
                                    wanted.sessions_lost_ms, chance, agent.connect)
         agent.broker.route = self.route
 
     def factory(self) -> Factory:
-        return Accept(lambda: self.front.connection())
+        return Accept(self.front.build)
 
     def start(self) -> None:
         self.route.start()
 
     def reload(self, config: Config) -> None:
-        """Peers are set up at the start: none of what they are changes here."""
+        self.front.callers.limit = most_clients(config)
 
     def leave(self) -> None:
         self.route.ending = True
--- a/frostport/cli.py
+++ b/frostport/cli.py
@@ -13,7 +13,7 @@
 
 from frostport import config
 
-VERSION = "0.2.0"
+VERSION = "0.3.0"
 
 
 def parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/frostport/core/complaints.py
@@ -0,0 +1,23 @@
+"""What is wrong with what comes in: a log line each, and no more than a few a second in a flood."""
+
+from __future__ import annotations
+
+import logging
+
+
+class Complaints:
+    """Guards the log against those who send nothing but what can't be read."""
+
+    MOST, SPAN_MS = 10, 1000.0
+
+    def __init__(self, log: logging.Logger) -> None:
+        self._log, self._since, self._count = log, 0.0, 0
+
+    def say(self, now: float, peer: str, problem: object) -> None:
+        if now - self._since >= self.SPAN_MS:
+            if self._count > self.MOST:
+                self._log.warning("%d more complaints not logged", self._count - self.MOST)
+            self._since, self._count = now, 0
+        self._count += 1
+        if self._count <= self.MOST:
+            self._log.warning("%s: %s", peer, problem)
--- a/frostport/core/deadlines.py
+++ b/frostport/core/deadlines.py
@@ -35,6 +35,10 @@
             self.changed()
         return deadline
 
+    def __len__(self) -> int:
+        """How many are still to be done."""
+        return sum(deadline.action is not None for _, _, deadline in self._heap)
+
     def next_ms(self) -> float | None:
         """When the first one is due, or None."""
         while self._heap and self._heap[0][2].action is None:
--- a/frostport/diameter/avp.py
+++ b/frostport/diameter/avp.py
@@ -274,12 +274,25 @@
             raise AvpError(MISSING_AVP, f"{wanted.name} missing", example.encode())
 
 
+def check_values(message: Message) -> None:
+    """Whether the AVPs of an answer can be read; what it must hold is its reader's concern."""
+    for avp in message.avps:
+        known = DICTIONARY.get((avp.vendor, avp.code))
+        if known is not None:
+            value_of(known, avp)
+
+
 class Frames:
     """Cuts a stream into messages. What can't be a Diameter message ends the stream."""
 
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def partial(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         self._buffer += data
         frames = []
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -10,14 +10,19 @@
 from frostport import interface as api
 from frostport.core.broker import Body, Broker, Request, State
 from frostport.core.lifecycle import Lifecycle
+from frostport.core.slots import Slots
 from frostport.diameter import avp
 from frostport.diameter.avp import Avp, Message, make
-from frostport.diameter.peer import Identity, Node, Peer, PeerConnection
+from frostport.diameter.peer import Identity, Link, Node, Peer, PeerConnection
 from frostport.interface import Outcome
 
 log = logging.getLogger("frostport.diameter.front")
 
 REMEMBER_MS = 60_000.0  # how long the answer to a set-up is kept for its duplicates
+OWED_MS = 60_000.0  # how long a release is owed to a client that does not hear it
+WAIT_MOST = 10.0  # a set-up may ask for so many times its class's deadline
+DUPLICATES_MOST = 8  # of one set-up, waiting for its answer
+OPEN_MOST = 1_000  # set-ups without an answer, of all clients
 LOSS_ALGORITHM = 1  # OLR_DEFAULT_ALGO (RFC 7683)
 HOST_REPORT = 0
 OWN = frozenset((entry.vendor, entry.code) for entry in (
@@ -47,16 +52,35 @@
     """Takes credit-control requests from client peers, and answers each once."""
 
     def __init__(self, broker: Broker, lifecycle: Lifecycle, identity: Identity, clients: list[str],
-                 numbers: dict[str, int], interval_ms: float, chance: random.Random) -> None:
+                 numbers: dict[str, int], interval_ms: float, chance: random.Random,
+                 connection_limit: int | None = None) -> None:
         super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
         self.broker, self.lifecycle, self.numbers = broker, lifecycle, numbers
         self.sessions: dict[str, Session] = {}
         self.owed: dict[str, tuple[str, Outcome]] = {}  # releases not yet answered: client ("": any), outcome
         self.aborts: dict[int, str] = {}  # hop-by-hop ids of releases on their way
         self.sequence = int(broker.clock.now())
+        self.callers: Slots[PeerConnection] = Slots(connection_limit)
         for host in clients:
             self.add(Peer(host))
 
+    def build(self) -> PeerConnection | None:
+        """A protocol for a new connection; where the table is full, the oldest stranger makes room for it."""
+        if self.callers.full():
+            strangers = [link for link in self.callers if link.state is not Link.OPEN]
+            if not strangers:
+                return None
+            min(strangers, key=lambda link: link.since).drop()
+        link = self.connection()
+        link.caller = self.callers.add(link)
+        return link
+
+    def closed(self, link: PeerConnection) -> None:
+        if link.caller >= 0:
+            self.callers.free(link.caller)
+            link.caller = -1
+        super().closed(link)
+
     # From clients
 
     def request(self, link: PeerConnection, message: Message) -> None:
@@ -80,6 +104,9 @@
         if known is not None and known.client != link.host:
             self._answer(link, message, avp.UNKNOWN_SESSION_ID, [], "the session is another client's")
             return
+        if known is not None and known.answer is None and len(known.waiting) >= DUPLICATES_MOST:
+            self._answer(link, message, avp.TOO_BUSY, [], "too many duplicates")
+            return
         if known is not None and known.answer is None:
             known.waiting.append((link, message))  # a duplicate: it gets the same answer, with the first
             return
@@ -95,8 +122,16 @@
         if not self.lifecycle.takes():
             self._answer(link, message, avp.TOO_BUSY, [], "going down")
             return
+        if self.broker.open >= OPEN_MOST:
+            self._answer(link, message, avp.TOO_BUSY, [], "too many set-ups open")
+            return
         wait = message.get(avp.MAXIMUM_WAIT_TIME)
         left = cls.deadline_ms if wait is None else float(wait)
+        if not 0.0 < left <= max(cls.deadline_ms * WAIT_MOST, 1.0):
+            wrong = next(found for found in message.avps if found.code == avp.MAXIMUM_WAIT_TIME.code)
+            link.reply(message, avp.INVALID_AVP_VALUE, error="no time that a caller could wait",
+                       failed=wrong.encode())
+            return
         called = str(message.get(avp.CALLED_STATION_ID) or "")
         features = message.get(avp.OC_SUPPORTED_FEATURES)
         vector = avp.find(features, avp.OC_FEATURE_VECTOR) if features is not None else 0
@@ -179,8 +214,14 @@
         client = session.client if session is not None else ""
         self._forget(call)
         self.owed[call] = (client, outcome)
+        self.deadlines.set(self.clock.now() + OWED_MS, lambda: self._no_more(call))
         self._abort(call, client, outcome)
 
+    def _no_more(self, call: str) -> None:
+        """Guards against clients that never answer a release: it is not owed for good."""
+        self.owed.pop(call, None)
+        self.aborts = {hop: of for hop, of in self.aborts.items() if of != call}
+
     def _final(self, request: Request, result: int, avps: list[Avp]) -> None:
         session = self.sessions.get(request.id)
         if session is None:
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -6,6 +6,7 @@
 import logging
 import random
 import struct
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -15,6 +16,7 @@
 from twisted.python.failure import Failure
 
 from frostport.core.clock import Clock
+from frostport.core.complaints import Complaints
 from frostport.core.deadlines import Deadline, Deadlines
 from frostport.core.slots import Slots
 from frostport.diameter import avp
@@ -24,10 +26,25 @@
 log = logging.getLogger("frostport.diameter")
 
 EXCHANGE_MS = 10_000.0  # a capabilities exchange that takes longer is given up
+CALLER_MS = 2_000.0  # the same where the peer calls: who connects has something to say
+HALF_MESSAGE_MS = 2_000.0  # a message that stops short for so long ends its connection
+STUCK_MS = 2_000.0  # so does a peer that does not read what is sent to it
+LAST_WORDS_MS = 1_000.0  # for what was said before a close to leave
+MESSAGES_A_TURN = 50
+ASKED_MOST = 1_000  # requests on one connection without an answer, the oldest of which are forgotten
 RELAY = 0xFFFFFFFF
 GOODBYE_MS = 1_000.0  # how long a disconnect waits for its answer
 
 
+complaints = Complaints(log)
+
+
+def cancelled(deadline: Deadline | None) -> Deadline | None:
+    if deadline is not None:
+        deadline.cancel()
+    return None
+
+
 class Link(Enum):
     """The states of one connection to a peer."""
 
@@ -96,10 +113,16 @@
         self.state = Link.CLOSED
         self.host, self.realm = called or "?", ""
         self.state_id: int | None = None
-        self.slot = -1
+        self.slot = self.caller = -1
+        self.since = clock.now()
         self._frames = Frames()
-        self._limit: Deadline | None = None
-        self._asked: set[int] = set()  # hop-by-hop ids of requests not yet answered
+        self._waiting: deque[bytes] = deque()  # messages read and not yet handled
+        self._limit: Deadline | None = None  # for the exchange of capabilities, or a goodbye
+        self._half: Deadline | None = None
+        self._stuck: Deadline | None = None
+        self._again: Deadline | None = None
+        self._deaf = False  # it is being closed: nothing more is heard
+        self._asked: dict[int, None] = {}  # hop-by-hop ids of requests not yet answered
 
     # The connection
 
@@ -107,35 +130,85 @@
         if interfaces.ITCPTransport.providedBy(self.transport):
             self.transport.setTcpNoDelay(True)
         self.state = Link.WAIT_CEA if self.called else Link.WAIT_CER
-        self._limit = self.deadlines.set(self.clock.now() + EXCHANGE_MS, self.drop)
+        self.transport.registerProducer(self, True)
+        # Guards against connections that come by hundreds and say nothing.
+        limit = EXCHANGE_MS if self.called else CALLER_MS
+        self._limit = self.deadlines.set(self.clock.now() + limit, self.drop)
         if self.called:
             self.ask(avp.CE, self.identity.capabilities())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self._deaf:
+            return
         try:
-            frames = self._frames.feed(data)
+            self._waiting.extend(self._frames.feed(data))
         except StreamError as problem:
-            log.warning("%s: closed: %s", self.host, problem)
+            complaints.say(self.clock.now(), self.host, f"closed: {problem}")
             self.drop()
             return
-        for frame in frames:
-            if self.state is Link.CLOSED:
-                return
+        self._work()
+        if not self._frames.partial:
+            self._half = cancelled(self._half)
+        elif self._half is None and not self._deaf:
+            self._half = self.deadlines.set(self.clock.now() + HALF_MESSAGE_MS, self.drop)
+
+    def _work(self) -> None:
+        """Handles some messages; then the others' turn comes, and nothing more is read until the next."""
+        self._again = None
+        for _ in range(MESSAGES_A_TURN):
+            if self._deaf or not self._waiting:
+                break
             try:
-                self._frame(frame)
+                self._frame(self._waiting.popleft())
             except Exception:  # a fault in one message costs that message, not the agent
                 log.exception("%s: message failed", self.host)
+        if self._deaf:
+            return
+        if self._waiting:
+            self.transport.pauseProducing()
+            self._again = self.deadlines.set(self.clock.now(), self._work)
+        elif self._stuck is None:
+            self.transport.resumeProducing()
+
+    def pauseProducing(self) -> None:  # noqa: N802 (Twisted's name)
+        """Guards against a peer that asks and does not read: no more is read from it until it does."""
+        if not self._deaf and self._stuck is None:
+            self.transport.pauseProducing()
+            self._stuck = self.deadlines.set(self.clock.now() + STUCK_MS, self.drop)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self._stuck = cancelled(self._stuck)
+        if not self._deaf and not self._waiting:
+            self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        pass
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
-        was, self.state = self.state, Link.CLOSED
-        if self._limit is not None:
-            self._limit.cancel()
-        if was is not Link.CLOSED:
+        self._end()
+
+    def _end(self) -> None:
+        self._deaf = True
+        for deadline in (self._limit, self._half, self._stuck, self._again):
+            cancelled(deadline)
+        if self.state is not Link.CLOSED:
+            self.state = Link.CLOSED
             self.owner.closed(self)
 
     def drop(self) -> None:
+        """Closes at once; what is open on it ends with it."""
         if self.state is not Link.CLOSED:
             self.transport.abortConnection()
+            self._end()
+
+    def hang_up(self) -> None:
+        """Closes once what was said has left."""
+        if not self._deaf:
+            self._deaf = True
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+            cancelled(self._limit)
+            self._limit = self.deadlines.set(self.clock.now() + LAST_WORDS_MS, self.drop)
 
     def disconnect(self, cause: int = avp.REBOOTING) -> None:
         """Says goodbye; the peer's answer, or its silence, closes the connection."""
@@ -150,7 +223,9 @@
         """Sends a request; returns its hop-by-hop id."""
         hop = self.next_id()
         flags = avp.REQUEST | (avp.PROXIABLE if application else 0)
-        self._asked.add(hop)
+        self._asked[hop] = None
+        while len(self._asked) > ASKED_MOST:  # guards against a peer that never answers
+            del self._asked[next(iter(self._asked))]
         self.say(Message(command, application, hop, hop, flags, avps))
         return hop
 
@@ -175,16 +250,19 @@
             message.avps = avp.read_avps(frame[avp.HEADER:])
             if message.is_request:
                 avp.check(message)
+            else:
+                avp.check_values(message)
         except AvpError as problem:
-            log.warning("%s: command %d: %s", self.host, message.command, problem)
+            complaints.say(self.clock.now(), self.host, f"command {message.command}: {problem}")
             if not message.is_request:
-                self._asked.discard(message.hop_by_hop)
+                # Guards against waiting for an answer that can't be read: all that is open here ends at once.
+                self.drop()
                 return
             if problem.result != avp.INVALID_HDR_BITS or not message.flags & avp.ERROR:
                 message.avps = readable_session(frame)
                 self.reply(message, problem.result, error=str(problem), failed=problem.failed)
             if self.state is Link.WAIT_CER:
-                self.transport.loseConnection()
+                self.hang_up()
             return
         if not message.is_request:
             self._answer(message)
@@ -211,14 +289,14 @@
 
     def _answer(self, message: Message) -> None:
         if message.hop_by_hop not in self._asked:
-            log.warning("%s: answer to nothing asked dropped", self.host)
+            complaints.say(self.clock.now(), self.host, "answer to nothing asked dropped")
             return
-        self._asked.discard(message.hop_by_hop)
+        del self._asked[message.hop_by_hop]
         if message.command == avp.CE:
             self._capabilities_answer(message)
             return
         if message.command == avp.DP:
-            self.transport.loseConnection()
+            self.hang_up()
             return
         if message.command == avp.DW:
             self._state_id(message)
@@ -246,8 +324,8 @@
         if result == avp.SUCCESS:
             self._open(message)
         elif self.state is Link.WAIT_CER:
-            log.warning("%s: %s", host, error)
-            self.transport.loseConnection()
+            complaints.say(self.clock.now(), host, error)
+            self.hang_up()
 
     def _capabilities_answer(self, message: Message) -> None:
         result, host = message.get(avp.RESULT_CODE), str(message.get(avp.ORIGIN_HOST))
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from frostport.core.clock import Clock
+from frostport.core.complaints import Complaints
 from frostport.core.deadlines import Deadline, Deadlines
 
 log = logging.getLogger("frostport.net")
@@ -136,30 +137,12 @@
         return bool(self._rest)
 
 
-class Complaints:
-    """One log line for each malformed line, but no more than a few a second in a flood."""
-
-    MOST, SPAN_MS = 10, 1000.0
-
-    def __init__(self) -> None:
-        self._since, self._count = 0.0, 0
-
-    def say(self, now: float, peer: str, problem: object) -> None:
-        if now - self._since >= self.SPAN_MS:
-            if self._count > self.MOST:
-                log.warning("%d more malformed lines not logged", self._count - self.MOST)
-            self._since, self._count = now, 0
-        self._count += 1
-        if self._count <= self.MOST:
-            log.warning("%s: malformed: %s", peer, problem)
-
-
 class LineConnection(protocol.Protocol):
     """One connection that carries lines; what fails on one line costs that line only."""
 
     peer = "?"
     transport: Any = None
-    complaints = Complaints()
+    complaints = Complaints(log)
 
     def __init__(self, clock: Clock, deadlines: Deadlines) -> None:
         self.clock, self.deadlines = clock, deadlines
@@ -214,7 +197,7 @@
             if line.strip():
                 self.line(line)
         except BadLineError as problem:
-            self.complaints.say(self.clock.now(), self.peer, problem)
+            self.complaints.say(self.clock.now(), self.peer, f"malformed: {problem}")
             self.malformed(problem)
         except Exception:  # a fault in one line costs that line, not the agent
             log.exception("%s: line failed", self.peer)
--- a/tests/diameter.py
+++ b/tests/diameter.py
@@ -28,6 +28,14 @@
                                      for n in (0, 1)]}}
 
 
+def extra(given: Heard) -> list[Avp]:
+    """The AVP that `with=CODE:FLAGS:DATA` adds."""
+    if "with" not in given:
+        return []
+    code, flags, data = given["with"].split(":")
+    return [Avp(int(code), bytes.fromhex(data), 0, int(flags, 16))]
+
+
 class DiameterActor(Actor):
     """A client or a lobby server."""
 
@@ -111,9 +119,7 @@
                 number = definition.kind is not avp.Kind.TEXT
                 avps.append(make(definition, int(given[field]) if number else given[field]))
         avps = [entry for entry in avps if str(entry.code) != given.get("without")]
-        if "with" in given:
-            code, flags, data = given["with"].split(":")
-            avps.append(Avp(int(code), bytes.fromhex(data), 0, int(flags, 16)))
+        avps += extra(given)
         self.ids += 1
         command = next(code for code, short in NAMES.items() if short == name[:2])
         application = avp.CREDIT_CONTROL if command in (avp.CC, avp.AS) else 0
@@ -125,7 +131,7 @@
         result = int(given["result"])
         return Message(asked.command, asked.application, asked.hop_by_hop, asked.end_to_end,
                        avp.ERROR if 3000 <= result < 4000 else 0,
-                       [*avps, make(avp.RESULT_CODE, result), *(
+                       [*avps, make(avp.RESULT_CODE, result), *extra(given), *(
                            [make(avp.CALLED_STATION_ID, given["key"])] if "key" in given else [])]).encode()
 
     def send(self, text: str) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -8,7 +8,7 @@
 
 WHO: c1, c2 (clients), s0, s1 (lobby servers), bus, bus2, p1 (a peer's datagrams), agent (`term`, `hup TEXT`
 or `hup FIELD=JSON`; `exit`, `phase`, `stopped N` for the sends that the rules stopped), and for servers
-`send s0 alive`, `mute`, `unmute`.
+`send s0 alive`, `mute`, `unmute`; `send c1 stuck` and `unstuck` for one that does not read.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
         self.protocol.dataReceived(data)
 
     def getPeer(self) -> Any:  # noqa: N802
-        return type("Address", (), {"host": self.other.protocol.name})() if self.other else None
+        return type("Address", (), {"host": getattr(self.other and self.other.protocol, "name", "")})()
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         self.producer = producer
@@ -174,6 +174,10 @@
         if text in ("alive", "mute", "unmute"):
             self.state = text
             return
+        if text in ("stuck", "unstuck"):
+            producer = self.wires[0].other.producer
+            producer.pauseProducing() if text == "stuck" else producer.resumeProducing()
+            return
         data = self.encode(text)
         if not self.wires:
             self.world.accept(self)
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -154,7 +154,8 @@
         world = Described(platform())
         for _, line in lines(script):
             words = line.split()
-            well_formed = words[:2] in (["send", "c1"], ["send", "c2"]) and words[2] != "raw"
+            well_formed = (words[:2] in (["send", "c1"], ["send", "c2"])
+                           and words[2] not in ("raw", "stuck", "unstuck"))
             if well_formed and "unheard" not in line and "soon" not in line and "key=zz" not in line:
                 said = orjson.loads(world.actors[words[1]].encode(line.split(" ", 2)[2]))
                 if said["verb"] == "START":
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -69,6 +69,58 @@
         send c1 CCR-I a dest=s0
         expect s0 CCR-I a wait=9000
     """,
+    "who connects and says nothing, or half a message, is closed": """
+        send c1 bare
+        send c1 raw 010000
+        wait 1999
+        expect c1 nothing
+        wait 2
+        expect c1 closed
+        send c2 raw 01000040
+        wait 1999
+        expect c2 nothing
+        wait 2
+        expect c2 closed
+    """,
+    "an answer that can't be read ends its connection, and all that is open on it": SET_UP + """
+        send c2 CCR-I b dest=s0 wait=3000
+        expect s0 CCR-I b
+        send s0 CCA a result=2001 with=268:40:07
+        expect s0 closed
+        wait 560
+        expect s1 CCR-I a
+        expect s1 CCR-I b
+    """,
+    "a second copy of an answer, or one to nothing asked, changes nothing": SET_UP + """
+        send s0 CCA a result=2001
+        send s0 CCA a result=2001
+        expect c1 CCA-I a result=2001
+        expect c1 nothing
+        expect s0 nothing
+    """,
+    "a time that no caller could wait": """
+        send c1 CCR-I a dest=s0 wait=0
+        expect c1 CCA a result=5004 failed=1537:000028af00000000
+        send c1 CCR-I a dest=s0 wait=90001
+        expect c1 CCA a result=5004
+        expect s0 nothing
+    """,
+    "a client that does not read is closed": """
+        send c1 CCR-I a dest=s0 wait=3000
+        expect s0 CCR-I a
+        send c1 stuck
+        wait 2001
+        expect c1 closed
+        expect s0 CCR-T a
+    """,
+    "duplicates without end": SET_UP + 7 * """
+        send c1 CCR-I a dest=s0 wait=3000
+    """ + """
+        expect c1 nothing
+        send c1 CCR-I a dest=s0 wait=3000
+        expect c1 CCA-I a result=3004
+        expect s0 nothing
+    """,
     "a late answer after a give-up": SET_UP + """
         send c1 CCR-T a
         expect s0 CCR-T a
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from tests.scenario import START_MS, event, host, platform, play
+from frostport.agent import PlatformSide
+from frostport.decide import Controller
+from frostport.net.front import PlatformFront
+from frostport.net.jsonl import LINES_A_TURN
+from tests.scenario import START_MS, Nobody, Wire, event, host, platform, play
 
 SET_UP = """
     send c1 START a class=race left=3000 key=07 extras=dest:0;width:1;via:-1 blob=sdp
@@ -269,6 +273,19 @@
         wait 20
         expect c2 closed
     """,
+    "a client that does not read is not read from, and closed": """
+        send c1 ECHO 1 rc=0
+        expect c1 ECHOED 1
+        send c1 stuck
+        wait 1000
+        send c1 unstuck
+        wait 5000
+        send c1 stuck
+        wait 1999
+        expect c1 nothing
+        wait 2
+        expect c1 closed
+    """,
     "a client that asked once may stay for good": STANDS + """
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
@@ -510,6 +527,62 @@
     assert sum(message.startswith(said) for message in caplog.messages) == 1
 
 
+def test_a_flood_of_lines_leaves_the_others_their_turn() -> None:
+    world = play("send c1 ECHO 1 rc=0", platform())
+    flood = world.reactor.factory.buildProtocol(None)
+    wire = Wire(world, flood)
+    wire.other = Wire(world, world.actors["c2"])
+    flood.makeConnection(wire)
+    flood.dataReceived(b'{"verb":"ECHO","tag":"0000000000000002"}\n' * (2 * LINES_A_TURN + 1))
+    assert len(world.later) == LINES_A_TURN and wire.paused
+    world.settle()
+    assert len(world.actors["c2"].inbox) == 2 * LINES_A_TURN + 1 and not wire.paused
+
+
+def test_in_a_full_table_the_silent_make_room_first_and_those_who_wait_for_an_answer_stay() -> None:
+    world = play(SET_UP, platform())
+    factory, agent = world.reactor.factory, world.agent
+    for _ in range(2 * agent.config.sockets):
+        wire = Wire(world, factory.buildProtocol(None))
+        wire.other = Wire(world, Nobody())
+        wire.protocol.makeConnection(wire)
+        world.wait(1.0)
+    front = agent.side.front
+    assert isinstance(front, PlatformFront) and len(front.connections) == front.connections.limit
+    for line in ("send c2 ECHO 1 rc=0", "expect c2 ECHOED 1", "send s0 STARTED a blob=x",
+                 "expect c1 STARTED a"):
+        world.step(line)
+
+
+def test_nothing_is_left_after_churn() -> None:
+    world = play("expect c1 nothing", platform())
+    agent, module = world.agent, world.agent.broker.module
+    assert isinstance(agent.side, PlatformSide) and isinstance(module, Controller)
+    for number in range(2, 60):
+        old, new = host(number % 2, "gone", name=f"h{number - 2}"), host(number % 2, name=f"h{number}")
+        call, dest = f"{number:x}", number % 2
+        for line in (f"send c1 START {call} class=race left=3000 key={call} extras=dest:{dest}",
+                     f"send s{dest} STARTED {call} blob=x", f"send c1 START f{call} class=race left=3000",
+                     "close c1", f"send bus {event(number, old, new)}", "wait 100"):
+            world.step(line)
+        for name in ("s0", "s1"):
+            world.actors[name].inbox.clear()
+    world.step("send c1 ECHO 1 rc=0")
+    world.wait(130_000.0)
+    world.step("send c1 START f class=race left=3000")  # what has aged is looked through with what is new
+    world.step("send c1 FINISH f rc=16")
+    names = {"h58", "h59"}
+    side = agent.side
+    assert set(agent.rules.servers) == set(side.servers.lobbies) == set(side.list.entries) == names
+    assert set(module.controls) == names and not module.calls and not module.held
+    assert all(control.out == 0 for control in module.controls.values())
+    assert not agent.broker.by_id and not len(agent.broker.requests) and len(agent.broker.ended_ids) == 1
+    assert not side.front.owed and len(side.front.connections) == 1
+    assert len(side.servers.connections) == sum(
+        len(lobby.connections) for lobby in side.servers.lobbies.values())
+    assert len(agent.deadlines) < 20
+
+
 def test_probes_are_answered_late_or_never() -> None:
     world = play("""
         wait 1200
