--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -27,6 +27,8 @@
 
 CONNECTIONS_MOST = 4  # to one server
 HALF_LINE_MS = 300.0  # an answer that stops short for so long ends its connection
+REPORT_MS = 200.0  # by so much the connections may differ in when they bring a report
+SILENT_MS = 1000.0  # a set-up given up after this long, with nothing heard meanwhile, ends its connection
 CUT_MS = 100.0  # from a refused connection to the release of what stood there
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
 
@@ -52,6 +54,7 @@
         self.peer = lobby.host
         self.out: dict[str, Attempt] = {}
         self.sent_in: dict[str, int] = {}  # the turn in which each went out
+        self.heard_at = math.inf  # when anything was read
         self._half: Deadline | None = None
 
     def opened(self) -> None:
@@ -66,6 +69,7 @@
         self.lobby.hear(self, jsonl.decode(line))
 
     def read(self) -> None:
+        self.heard_at = self.clock.now()
         if self._half is not None and not self.lines.partial:
             self._half.cancel()
             self._half = None
@@ -109,6 +113,8 @@
         self.waiting: list[Attempt] = []
         self.probes: list[int] = []
         self.owed: dict[str, int] = {}  # releases not sent for want of a connection
+        self.reported_at = -math.inf  # when a report came unasked
+        self.checking: Deadline | None = None
         self.listed = True
 
     # Connecting
@@ -161,7 +167,7 @@
             connection.drop()
             return
         log.info("%s: connected", self.host)
-        connection.opened_at = self.servers.clock.now()
+        connection.opened_at = connection.heard_at = self.servers.clock.now()
         connection.slot = self.servers.connections.add(connection)
         self.connections.append(connection)
         owed, self.owed = self.owed, {}
@@ -194,8 +200,9 @@
     def leave(self) -> None:
         """The server is off the list: nothing is sent, no call stands there any more."""
         self.listed = False
-        if self.redial is not None:
-            self.redial.cancel()
+        for deadline in (self.redial, self.checking):
+            if deadline is not None:
+                deadline.cancel()
         self.reset(math.inf, "off the list")
         if self.dialing is not None:
             self.dialing.cancel()
@@ -230,10 +237,12 @@
         if attempt in self.waiting:
             self.waiting.remove(attempt)
             return
-        for connection in self.connections:
+        for connection in list(self.connections):
             if connection.out.get(attempt.request.id) is attempt:
                 del connection.out[attempt.request.id], connection.sent_in[attempt.request.id]
                 connection.say(Message("FINISH", attempt.request.id, rc=jsonl.NORMAL))
+                if connection.heard_at <= attempt.sent_at < self.servers.clock.now() - SILENT_MS:
+                    connection.spoilt()  # nothing came while it waited: no better for the next
 
     def release(self, tag: str, cause: int) -> None:
         """Ends a call that stands here: on any connection, on the next if none is open."""
@@ -265,6 +274,7 @@
             case "FINISH":
                 self.finished(connection, message, connection.take(message.tag))
             case "LOAD":
+                self.reported()
                 # Each connection brings it: the module hears it once, as from the simulator.
                 if (report := self.report(message)) and connection is self.connections[0]:
                     self.broker.reported(self.host, report)
@@ -278,6 +288,20 @@
             case _:
                 raise BadLineError(f"verb: unknown: {message.verb}")
 
+    def reported(self) -> None:
+        """A report comes on all connections at once: one that brings nothing then has fallen silent."""
+        self.reported_at = self.servers.clock.now()
+        if self.checking is None:
+            self.checking = self.servers.deadlines.set(self.reported_at + REPORT_MS, self.check)
+
+    def check(self) -> None:
+        """Guards against a connection that stays open and silent: with few set-ups out, it gets ever more."""
+        self.checking = None
+        for connection in list(self.connections):
+            if connection.heard_at < self.reported_at - REPORT_MS:
+                log.info("%s: a connection has fallen silent", self.host)
+                connection.spoilt()
+
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is not None:
             self.broker.stood(attempt, message.blob or "")
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,8 @@
 """A small language for scenarios, played on a set clock over in-memory transports.
 
 A line is one step:
-    send WHO MESSAGE      WHO says it (a client or event bus connects first; `bus`, `agent`: see below)
+    send WHO MESSAGE      WHO says it (a client or event bus connects first; `bus`, `agent`: see below), on
+                          the connection that its set-up came on; `on=TAG`: on that set-up's
     expect WHO MESSAGE    the next thing that WHO hears matches it, field by field; `nothing`, `closed`
     close WHO [HOW]       WHO breaks its connection; `dead` also refuses new ones, `silent` lets all hang
     wait MS               time passes
@@ -178,11 +179,12 @@
             producer = self.wires[0].other.producer
             producer.pauseProducing() if text == "stuck" else producer.resumeProducing()
             return
-        data = self.encode(text)
+        data = self.encode(text.partition(" on=")[0])
         if not self.wires:
             self.world.accept(self)
         assert self.wires, f"{self.name} has no connection"
-        asked_on = self.asked_on.get(text.split()[1]) if " " in text else None
+        tag = text.rpartition(" on=")[2] if " on=" in text else text.split()[1] if " " in text else ""
+        asked_on = self.asked_on.get(tag)
         wire: Any = asked_on if asked_on in self.wires else self.wires[0]
         wire.write(data)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -73,6 +73,7 @@
         send c1 FINISH a rc=16
         expect c1 FINISHED a
         expect c1 nothing
+        expect s0 closed
         expect s0 nothing
     """,
     "a give-up reaches the server": SET_UP + """
@@ -346,6 +347,34 @@
         wait 560
         expect s0 START a
     """,
+    "a connection that falls silent while another brings reports is ended": SET_UP + """
+        send c2 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        send s0 STARTED b blob=x
+        expect c2 STARTED b
+        send c2 START c class=race left=3000 extras=dest:0
+        expect s0 START c
+        wait 500
+        send s0 STARTED c blob=x
+        expect c2 STARTED c
+        send s0 LOAD 0 load=x0:5;x1:9 on=c
+        wait 199
+        expect s0 nothing
+        wait 2
+        expect s0 closed
+        wait 560
+        expect s0 START a
+    """,
+    "a connection on which nothing comes while a set-up waits is ended with it": SET_UP + """
+        send c2 START b class=race left=4000 extras=dest:0
+        expect s0 START b
+        wait 3001
+        expect s0 FINISH a rc=16
+        expect c1 FINISH a rc=41
+        expect s0 closed
+        wait 560
+        expect s0 START b
+    """,
     "a second copy of an answer, and one under an unknown id, change nothing": SET_UP + """
         send s0 STARTED e blob=noise
         expect s0 FINISH e rc=16
