Dial anew after each lost server connection, and end those that miss a report: no call untold

Checked with a trace: the server writes a release on the connection of the set-up; fallen silent, that brings nothing, and the server repeats it on the next connection that opens. None was opened while others were open. Ruled out: the client's side (its FINISHED comes a millisecond after the release). Lines: net/lobby.py, `down` returned while other connections were open; `check` looked at anything heard, so that a connection that spoke shortly before a report passed until the next. Also: a server that takes no more connections is not dialed for each set-up, made-up ids are passed on 50 times a second at most, a bad event told twice is passed over, the ids remembered have a bound.

--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -27,6 +27,8 @@
 Body = str | bytes  # a description, opaque here: each front is paired with a route that knows its form
 
 REMEMBER_MS = 60_000.0  # how long an ended call's id is known: releases may be repeated on later connections
+REMEMBER_MOST = 20_000  # and how many of them
+UNKNOWN_MOST, UNKNOWN_A_SECOND = 200.0, 50.0  # releases of unknown ids passed on: at once, and a second
 OVERDUE_MS = 10.0  # a request still open this long after its caller's time gets its answer from the broker
 
 
@@ -124,6 +126,7 @@
         self.ended_ids: OrderedDict[str, tuple[float, float]] = OrderedDict()  # ended at, not again before
         self.open = 0
         self.idle: Callable[[], None] = lambda: None  # called when the last open request is answered
+        self._unknown, self._unknown_at = UNKNOWN_MOST, 0.0  # releases of unknown ids that may still go on
         self._probes: dict[int, tuple[str, float]] = {}
         self._probe_number = 0
         self._events: deque[tuple[api.Event, Request | None]] = deque()
@@ -187,7 +190,12 @@
 
     def release_unknown(self, call: str) -> None:
         """A client's release of an id not known here; one that ended lately has been released already."""
-        if call not in self.ended_ids:
+        now = self.clock.now()
+        came = (now - self._unknown_at) / 1000.0 * UNKNOWN_A_SECOND
+        self._unknown, self._unknown_at = min(UNKNOWN_MOST, self._unknown + came), now
+        if call not in self.ended_ids and self._unknown >= 1.0:
+            # Guards the servers against clients that make ids up: each goes to all of them.
+            self._unknown -= 1.0
             self._remember(call, 0.0)
             self._route().release_unknown(call)
 
@@ -412,5 +420,7 @@
     def _remember(self, call: str, not_before: float) -> None:
         now = self.clock.now()
         self.ended_ids[call] = (now, not_before)
-        while self.ended_ids and next(iter(self.ended_ids.values()))[0] < now - REMEMBER_MS:
+        self.ended_ids.move_to_end(call)
+        while self.ended_ids and (len(self.ended_ids) > REMEMBER_MOST
+                                  or next(iter(self.ended_ids.values()))[0] < now - REMEMBER_MS):
             self.ended_ids.popitem(last=False)
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -66,7 +66,7 @@
 
     def build(self) -> PeerConnection | None:
         """A protocol for a new connection; where the table is full, the oldest stranger makes room for it."""
-        if self.callers.full():
+        while self.callers.full():
             strangers = [link for link in self.callers if link.state is not Link.OPEN]
             if not strangers:
                 return None
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +21,8 @@
 
 REDIAL_MS = 200.0
 CONNECT_MS = 1000.0  # a connection that is not up by then is dialed anew
+DIAL = re.compile(r"[^:\s]+:[0-9]{1,5}\Z")
+LONGEST = 1024 * 1024  # a whole list may be long
 SILENT_MS = 2500.0  # a line comes each second: this long without a whole one, the connection is given up
 
 
@@ -28,7 +31,7 @@
 
     def __init__(self, broker: Broker, servers: LobbyServers) -> None:
         self.broker, self.servers = broker, servers
-        self.offset = 0
+        self.offset, self.unread = 0, -1  # the last event had, and the last that could not be read
         self.entries: dict[str, tuple[api.Server, str]] = {}
 
     def known(self, batch: list[dict[str, Any]], offset: int) -> None:
@@ -51,7 +54,16 @@
         if offset <= self.offset:
             return
         if "topology" in record:
-            version, whole, entries = parse(record)
+            try:
+                version, whole, entries = parse(record)
+            except BadLineError as problem:
+                if offset != self.unread:
+                    self.unread = offset
+                    raise
+                # Guards against asking for ever: told twice, it is the event and not the way that is bad.
+                log.error("event %d passed over: %s", offset, problem)
+                self.offset = offset
+                return
             self._hand_on(api.ListKind.COMPLETE if whole else api.ListKind.CHANGES, version, entries)
         self.offset = offset
 
@@ -77,7 +89,10 @@
                 str(host["host"]), int(host["block"]), api.Lifecycle(host["health"]),
                 str(host.get("site", "")), float(host.get("born_ms", 0.0)), float(host.get("share", 1.0)),
                 str(host.get("class", "")))
-            entries.append((server, str(host.get("dial", ""))))
+            dial = str(host.get("dial", ""))
+            if server.state is not api.Lifecycle.GONE and not DIAL.match(dial):
+                raise ValueError(f"dial: {dial!r}")
+            entries.append((server, dial))
         return int(topology.get("seq", 0)), bool(topology.get("whole", False)), entries
     except (KeyError, TypeError, ValueError, AttributeError) as problem:
         raise BadLineError(f"topology: {type(problem).__name__}: {problem}") from None
@@ -89,7 +104,7 @@
     peer = "event bus"
 
     def __init__(self, bus: EventBus) -> None:
-        super().__init__(bus.clock, bus.deadlines)
+        super().__init__(bus.clock, bus.deadlines, LONGEST)
         self.bus = bus
 
     def opened(self) -> None:
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -187,7 +187,7 @@
 
     def build(self) -> ClientConnection | None:
         """A protocol for a new connection; where the table is full, an idle one makes room for it."""
-        if self.connections.full():
+        while self.connections.full():  # a reload may have lowered the limit by more than one
             # Guards the usual clients, who come anew all the time, against those who only hold connections.
             idle = [at for at in self.connections if not at.open and at.alive]
             if not idle:
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -144,9 +144,9 @@
     transport: Any = None
     complaints = Complaints(log)
 
-    def __init__(self, clock: Clock, deadlines: Deadlines) -> None:
+    def __init__(self, clock: Clock, deadlines: Deadlines, longest: int = MAX_LINE) -> None:
         self.clock, self.deadlines = clock, deadlines
-        self.lines = Lines()
+        self.lines = Lines(longest)
         self.alive = False
         self.stuck = False  # what is written waits for the other side to read: nothing more is read from it
         self.turns = 0  # how often something was read: lines of one turn were written before they were read
@@ -193,7 +193,7 @@
     def _one(self, line: bytes, oversize: bool) -> None:
         try:
             if oversize:
-                raise BadLineError(f"over {MAX_LINE} bytes", line)
+                raise BadLineError(f"over {len(line)} bytes", line)
             if line.strip():
                 self.line(line)
         except BadLineError as problem:
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -27,7 +27,8 @@
 
 CONNECTIONS_MOST = 4  # to one server
 HALF_LINE_MS = 300.0  # an answer that stops short for so long ends its connection
-REPORT_MS = 200.0  # by so much the connections may differ in when they bring a report
+ENOUGH_MS = 5000.0  # how long the connections there are do, after a further one was not to be had
+REPORT_MS = 150.0  # by so much the connections may differ in when they bring a report
 SILENT_MS = 1000.0  # a set-up given up after this long, with nothing heard meanwhile, ends its connection
 CUT_MS = 100.0  # from a refused connection to the release of what stood there
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
@@ -54,7 +55,8 @@
         self.peer = lobby.host
         self.out: dict[str, Attempt] = {}
         self.sent_in: dict[str, int] = {}  # the turn in which each went out
-        self.heard_at = math.inf  # when anything was read
+        self.heard_at = self.reported_at = math.inf  # when anything was read, and when a report came unasked
+        self.greeted = False  # the first report has come
         self._half: Deadline | None = None
 
     def opened(self) -> None:
@@ -115,6 +117,7 @@
         self.owed: dict[str, int] = {}  # releases not sent for want of a connection
         self.reported_at = -math.inf  # when a report came unasked
         self.checking: Deadline | None = None
+        self.enough_until = -math.inf  # no further connection is dialed before
         self.listed = True
 
     # Connecting
@@ -145,7 +148,9 @@
         log.info("%s: no connection: %s", self.host, failure.type.__name__ if failure.type else failure.value)
         waiting, self.waiting = self.waiting, []
         probes, self.probes = self.probes, []
-        if refused and not self.connections:
+        if self.connections:  # guards against dialing for each set-up a server that takes no more connections
+            self.enough_until = self.servers.clock.now() + ENOUGH_MS
+        elif refused:
             # Guards against being ahead of the cuts themselves: a reset connection is heard before them.
             now = self.servers.clock.now()
             self.servers.deadlines.set(
@@ -154,10 +159,11 @@
             self.broker.ended(attempt, Outcome.CONNECT_FAILED)
         for number in probes:
             self.broker.probed(number, Outcome.CONNECT_FAILED)
-        self._redial_later()
+        if not self.connections:
+            self._redial_later()
 
     def _redial_later(self) -> None:
-        if self.listed and not self.connections and self.dialing is None:
+        if self.listed and self.dialing is None:
             if self.redial is not None:
                 self.redial.cancel()
             self.redial = self.servers.deadlines.set(self.servers.clock.now() + REDIAL_MS, self.connect)
@@ -167,7 +173,7 @@
             connection.drop()
             return
         log.info("%s: connected", self.host)
-        connection.opened_at = connection.heard_at = self.servers.clock.now()
+        connection.opened_at = connection.heard_at = connection.reported_at = self.servers.clock.now()
         connection.slot = self.servers.connections.add(connection)
         self.connections.append(connection)
         owed, self.owed = self.owed, {}
@@ -190,8 +196,7 @@
         log.info("%s: connection lost, %d set-ups open", self.host, len(out))
         for attempt in out.values():
             self.broker.ended(attempt, Outcome.RESET)
-        if self.connections:
-            return
+        # Also where others are open: on the next one the server tells again what was lost with this one.
         if self.servers.clock.now() >= connection.opened_at + REDIAL_MS:
             self.connect()
         else:  # guards against a server that closes each new connection at once
@@ -224,7 +229,7 @@
             return
         # Guards against second copies of the last attempt's answer: elsewhere they are not this one's.
         chosen = min(self.connections, key=lambda at: (len(at.out) + (at.slot == link), at.opened_at))
-        if chosen.out and len(self.connections) < CONNECTIONS_MOST:
+        if chosen.out and len(self.connections) < CONNECTIONS_MOST and attempt.sent_at >= self.enough_until:
             self.connect()  # the fewer set-ups share a connection, the fewer break with it
         left = max(1, round(attempt.end_at - self.servers.clock.now()))
         opts = {"class": request.call_class, "left": str(left)}
@@ -274,7 +279,7 @@
             case "FINISH":
                 self.finished(connection, message, connection.take(message.tag))
             case "LOAD":
-                self.reported()
+                self.reported(connection)
                 # Each connection brings it: the module hears it once, as from the simulator.
                 if (report := self.report(message)) and connection is self.connections[0]:
                     self.broker.reported(self.host, report)
@@ -288,9 +293,13 @@
             case _:
                 raise BadLineError(f"verb: unknown: {message.verb}")
 
-    def reported(self) -> None:
-        """A report comes on all connections at once: one that brings nothing then has fallen silent."""
-        self.reported_at = self.servers.clock.now()
+    def reported(self, connection: ServerConnection) -> None:
+        """A report comes on all connections at once: one that does not bring it has fallen silent."""
+        connection.reported_at = self.servers.clock.now()
+        if not connection.greeted:
+            connection.greeted = True  # the first report is a new connection's own, and goes to no other
+            return
+        self.reported_at = connection.reported_at
         if self.checking is None:
             self.checking = self.servers.deadlines.set(self.reported_at + REPORT_MS, self.check)
 
@@ -298,7 +307,7 @@
         """Guards against a connection that stays open and silent: with few set-ups out, it gets ever more."""
         self.checking = None
         for connection in list(self.connections):
-            if connection.heard_at < self.reported_at - REPORT_MS:
+            if connection.reported_at < self.reported_at - REPORT_MS:
                 log.info("%s: a connection has fallen silent", self.host)
                 connection.spoilt()
 
--- a/frostport/net/peers.py
+++ b/frostport/net/peers.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 
 from frostport.core.broker import Broker
+from frostport.core.complaints import Complaints
 
 log = logging.getLogger("frostport.peers")
 
@@ -26,7 +27,7 @@
     transport: Any = None
 
     def __init__(self, broker: Broker, addresses: list[str]) -> None:
-        self.broker = broker
+        self.broker, self.complaints = broker, Complaints(log)
         self.addresses = [split(address) for address in addresses]
         self.numbers = {address: number for number, address in enumerate(self.addresses)}
 
@@ -42,6 +43,6 @@
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
         sender = self.numbers.get((addr[0], addr[1]))
         if sender is None:
-            log.warning("message from an unknown address dropped")
+            self.complaints.say(self.broker.clock.now(), addr[0], "message from an unknown address dropped")
         else:
             self.broker.told(sender, datagram)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,7 +4,8 @@
     send WHO MESSAGE      WHO says it (a client or event bus connects first; `bus`, `agent`: see below), on
                           the connection that its set-up came on; `on=TAG`: on that set-up's
     expect WHO MESSAGE    the next thing that WHO hears matches it, field by field; `nothing`, `closed`
-    close WHO [HOW]       WHO breaks its connection; `dead` also refuses new ones, `silent` lets all hang
+    close WHO [HOW]       WHO breaks its connection; `dead` also refuses new ones, `silent` lets all hang;
+                          `full` only refuses new ones
     wait MS               time passes
 
 WHO: c1, c2 (clients), s0, s1 (lobby servers), bus, bus2, p1 (a peer's datagrams), agent (`term`, `hup TEXT`
@@ -217,7 +218,8 @@
 
     def close(self, how: str) -> None:
         self.state = how or self.state
-        wires, self.wires = self.wires if how != "silent" else [], self.wires if how == "silent" else []
+        stay = how in ("silent", "full")
+        wires, self.wires = ([], self.wires) if stay else (self.wires, [])
         for wire in wires:
             wire.protocol = Nobody()
             wire.loseConnection()
@@ -232,6 +234,7 @@
                            "10.0.1.2:1": "bus2"}
 
     def __init__(self, record: dict[str, Any]) -> None:
+        self.dials = 0
         self.record, self.clock = record, SetClock(START_MS)
         self.later: list[Callable[[], Any]] = []
         self.actors = {name: self.actor(self, name) for name in ("c1", "c2", "s0", "s1", "bus", "bus2", "p1")}
@@ -257,7 +260,8 @@
 
     def dialed(self, address: str, factory: Any) -> None:
         actor = self.actors[self.addresses[address]]
-        if actor.state == "dead":
+        self.dials += 1
+        if actor.state in ("dead", "full"):
             factory.clientConnectionFailed(None, failure(error.ConnectionRefusedError))
         elif actor.state != "silent":
             self.join(actor, factory.buildProtocol(None))
@@ -293,7 +297,7 @@
                 told = {"exit": self.agent.lifecycle.phase is Phase.STOPPED and self.reactor.stopped,
                         f"phase {self.agent.lifecycle.phase.value}": True,
                         f"stopped {self.agent.rules.stopped.total()}": True,
-                        f"open {self.agent.broker.open}": True}
+                        f"open {self.agent.broker.open}": True, f"dials {self.dials}": True}
                 assert told.get(rest), f"agent is in {told}"
             case "send", "p1":
                 self.reactor.udp.datagramReceived(bytes.fromhex(rest), ("10.0.2.2", 1))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -358,10 +358,14 @@
         send s0 STARTED c blob=x
         expect c2 STARTED c
         send s0 LOAD 0 load=x0:5;x1:9 on=c
-        wait 199
+        wait 500
+        expect s0 nothing
+        send s0 LOAD 0 load=x0:6;x1:9 on=c
+        wait 149
         expect s0 nothing
         wait 2
         expect s0 closed
+        expect agent dials 5
         wait 560
         expect s0 START a
     """,
@@ -400,6 +404,17 @@
         wait 200
         expect bus from 1
     """,
+    "an event that can't be read twice is passed over": f"""
+        expect bus from 1
+        send bus {event(2, {**host(0), "dial": "nowhere"})}
+        expect bus closed
+        wait 200
+        expect bus from 1
+        send bus {event(2, {**host(0), "dial": "nowhere"})}
+        send bus {event(3, host(1, "gone"))}
+        expect s1 closed
+        expect bus nothing
+    """,
     "an event that breaks off is asked for again": f"""
         expect bus from 1
         send bus raw {event(2, host(0, "gone"))[:40]}
@@ -452,6 +467,19 @@
         expect s1 START a
         expect s0 nothing
     """,
+    "a server that takes no more connections is not dialed for each set-up": SET_UP + """
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        close s0 full
+        send c1 START c class=race left=3000 extras=dest:0
+        send c1 START d class=race left=3000 extras=dest:0
+        expect s0 START c
+        expect s0 START d
+        expect agent dials 5
+        send c1 START e class=race left=3000 extras=dest:0
+        expect s0 START e
+        expect agent dials 5
+    """,
     "a silent event bus is dialed anew": """
         expect bus from 1
         wait 2400
@@ -583,6 +611,14 @@
         world.step(line)
 
 
+def test_releases_of_made_up_ids_go_on_only_so_often() -> None:
+    world = play("send c1 ECHO 1 rc=0", platform())
+    for number in range(300):
+        world.step(f"send c1 FINISH {number:x} rc=16")
+    assert sum(heard[""] == "FINISH" for heard in world.actors["s0"].inbox) == 200
+    assert sum(heard[""] == "FINISHED" for heard in world.actors["c1"].inbox) == 300
+
+
 def test_nothing_is_left_after_churn() -> None:
     world = play("expect c1 nothing", platform())
     agent, module = world.agent, world.agent.broker.module
