--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -222,6 +222,16 @@
             request.front.over(request.id, request.place, outcome)
         self._end(attempt, outcome, note, wait_ms, report)
 
+    def over_unheard(self, attempt: Attempt, report: tuple[float, ...] = ()) -> None:
+        """A call has come to its end at its server, and its answer was never heard: it ran, and has failed.
+
+        Guards against sending it again: the server has ended the id, and would never tell of a second end."""
+        request = attempt.request
+        if request.attempt is attempt and request.state is State.OPEN:
+            self._close(request)
+            request.front.failed(request)
+            self._end(attempt, Outcome.RESET, report=report)
+
     def over_unknown(self, call: str, front: Front, outcome: Outcome) -> None:
         """A server's release of an id not known here: a call set up before this program's start."""
         if call not in self.ended_ids:
--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -81,7 +81,7 @@
         self.sent = self.stood = 0.0
         self.answers = self.share = 0.0  # the bucket: answers it averages, and the rejects among them
         self.heard_at, self.probe_at = -math.inf, now - PROBE_MS * (1.0 + phase)
-        self.cut_at = self.skip_until = self.reject_at = self.warm_at = -math.inf
+        self.cut_at = self.skip_until = self.reject_at = self.warm_at = self.stood_at = -math.inf
         self.ceiling: float | None = None
         self.tokens = 1.0
         self.ends_at = math.inf
@@ -323,6 +323,7 @@
         control = call.out
         control.age(now)
         control.stood, control.strikes, control.out = control.stood + 1.0, 0, control.out - 1
+        control.stood_at = now
         self.busy.pop(call.number, None)
         control.near = min(control.near, event.elapsed_ms)
         self.witness(call, control, now, self.grade(event.elapsed_ms, self.easy(control)))
@@ -340,8 +341,12 @@
                 control.reject_at = now
             # A stated wait is not heeded: a server that pauses for a moment states far too long a one.
             control.skip_until = max(control.skip_until, now + SKIP_MS)
-        elif event.outcome in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
-            # Guards against unreachable and silent servers: growing pauses, then one trial at a time.
+        elif event.outcome is Outcome.CONNECT_FAILED or (
+                event.outcome is Outcome.TIMEOUT
+                and (control.stood_at <= call.sent_at or control.share > 2.0 * TARGET)):
+            # Guards against unreachable and silent servers: growing pauses, then one trial at a time. Where
+            # others stood since and few were late, one answer was lost: a pause would throw all calls at the
+            # other servers.
             control.strikes += 1
             control.skip_until = now + pause_ms(control.strikes)
         elif event.note == api.NOTE_NUMBER_BUSY and call.number:
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -124,7 +124,7 @@
 
     def connect(self) -> None:
         """Dials, unless a connection is on its way."""
-        if self.dialing is not None or not self.listed:
+        if self.dialing is not None or not self.listed or len(self.connections) >= CONNECTIONS_MOST:
             return
         if self.redial is not None:
             self.redial.cancel()
@@ -150,6 +150,8 @@
         probes, self.probes = self.probes, []
         if self.connections:  # guards against dialing for each set-up a server that takes no more connections
             self.enough_until = self.servers.clock.now() + ENOUGH_MS
+            if refused:
+                self.test()
         elif refused:
             # Guards against being ahead of the cuts themselves: a reset connection is heard before them.
             now = self.servers.clock.now()
@@ -293,6 +295,18 @@
             case _:
                 raise BadLineError(f"verb: unknown: {message.verb}")
 
+    def test(self) -> None:
+        """Guards against a dead process whose silent connections stay open: each has to answer."""
+        asked = self.servers.clock.now()
+        for connection in self.connections:
+            connection.say(Message("ECHO", "0" * 16, rc=0))
+        self.servers.deadlines.set(asked + REPORT_MS, lambda: self.tested(asked))
+
+    def tested(self, asked: float) -> None:
+        for connection in [at for at in self.connections if at.heard_at <= asked]:
+            log.info("%s: a connection does not answer", self.host)
+            connection.spoilt()
+
     def reported(self, connection: ServerConnection) -> None:
         """A report comes on all connections at once: one that does not bring it has fallen silent."""
         connection.reported_at = self.servers.clock.now()
@@ -314,13 +328,17 @@
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is not None:
             self.broker.stood(attempt, message.blob or "")
-        elif (request := self.broker.find(message.tag)) is None or request.state is State.OPEN:
+        elif (request := self.broker.find(message.tag)) is None or (
+                request.state is State.OPEN
+                and (request.attempt is None or request.attempt.server != self.host)):
             # Guards against an answer that crosses our give-up: what it set up must not be left standing.
             connection.say(Message("FINISH", message.tag, rc=jsonl.NORMAL))
 
     def finished(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         request = self.broker.find(message.tag)
-        if attempt is not None:
+        if attempt is not None and message.rc == jsonl.NORMAL:
+            self.broker.over_unheard(attempt, self.report(message))
+        elif attempt is not None:
             note = NOTES.get(message.opts.get("note", ""), 0)
             outcome = BEFORE.get(message.rc or 0, Outcome.ERROR)
             self.broker.ended(attempt, outcome, note, report=self.report(message))
@@ -354,7 +372,8 @@
             lobby = self.lobbies[host] = Lobby(self, host, dial)
         if born_ms:
             lobby.reset(born_ms, "a new process")
-        lobby.connect()
+        if not lobby.connections:
+            lobby.connect()
 
     def remove(self, host: str) -> None:
         lobby = self.lobbies.pop(host, None)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,7 +5,7 @@
                           the connection that its set-up came on; `on=TAG`: on that set-up's
     expect WHO MESSAGE    the next thing that WHO hears matches it, field by field; `nothing`, `closed`
     close WHO [HOW]       WHO breaks its connection; `dead` also refuses new ones, `silent` lets all hang;
-                          `full` only refuses new ones
+                          `full` only refuses new ones, `but=TAG` is `dead` with that set-up's left open
     wait MS               time passes
 
 WHO: c1, c2 (clients), s0, s1 (lobby servers), bus, bus2, p1 (a peer's datagrams), agent (`term`, `hup TEXT`
@@ -218,6 +218,14 @@
 
     def close(self, how: str) -> None:
         self.state = how or self.state
+        if how.startswith("but="):
+            # The process is dead, and one of its connections does not show it.
+            self.state, stays = "dead", self.asked_on[how[4:]]
+            for wire in [wire for wire in self.wires if wire is not stays]:
+                self.wires.remove(wire)
+                wire.protocol = Nobody()
+                wire.loseConnection()
+            return
         stay = how in ("silent", "full")
         wires, self.wires = ([], self.wires) if stay else (self.wires, [])
         for wire in wires:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -265,6 +265,21 @@
     assert sends(proxy.call()[1])[0].server == server(0).address
 
 
+@pytest.mark.parametrize("stood_since, share, pause", [
+    (True, 0.0, False), (False, 0.0, True), (True, 0.5, True)])
+def test_one_lost_answer_is_no_strike_where_others_stood_since(
+        stood_since: bool, share: float, pause: bool) -> None:
+    proxy = Proxy()
+    lost, _ = proxy.call()
+    proxy.run(10.0)
+    if stood_since:
+        other, _ = proxy.call()
+        proxy.answer(other)
+    proxy.control().share = share
+    proxy.fail(lost, api.Outcome.TIMEOUT)
+    assert (proxy.control().strikes > 0, proxy.control().skip_until > proxy.now) == (pause, pause)
+
+
 def test_the_only_server_is_tried_again_and_its_return_is_used() -> None:
     proxy = Proxy(1)
     name, _ = proxy.call()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -176,6 +176,21 @@
         wait 2
         expect c1 FINISH a rc=41
     """,
+    "a process that died, one connection left open: it does not answer, so it is over": STANDS + """
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        send c1 START c class=race left=3000 extras=dest:0
+        expect s0 START c
+        wait 600
+        close s0 but=b
+        expect s0 ECHO rc=0
+        wait 149
+        expect s0 nothing
+        wait 2
+        expect s0 closed
+        wait 100
+        expect c1 FINISH a rc=41
+    """,
     "a refused connect sends the call on at once": """
         close s0 dead
         send c1 START a class=race left=3000 extras=dest:0
@@ -379,6 +394,27 @@
         wait 560
         expect s0 START b
     """,
+    "a call that ends before its answer came has failed, and is not sent again": SET_UP + """
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=41
+        expect s0 FINISHED a
+        send s0 STARTED a blob=late
+        expect s0 FINISH a rc=16
+        wait 3000
+        expect s0 nothing
+        expect s1 nothing
+        expect c1 nothing
+    """,
+    "a late answer to an earlier attempt does not end the one that is out at the same server": SET_UP + """
+        send c1 START b class=race left=3000 extras=dest:0
+        send c1 START c class=race left=3000 extras=dest:0
+        expect s0 START b
+        expect s0 START c
+        send s0 FINISH a rc=47
+        expect s0 START a
+        send s0 STARTED a blob=late on=b
+        expect s0 nothing
+    """,
     "a second copy of an answer, and one under an unknown id, change nothing": SET_UP + """
         send s0 STARTED e blob=noise
         expect s0 FINISH e rc=16
@@ -476,7 +512,9 @@
         expect s0 START c
         expect s0 START d
         expect agent dials 5
+        expect s0 ECHO rc=0
         send c1 START e class=race left=3000 extras=dest:0
+        expect s0 ECHO rc=0
         expect s0 START e
         expect agent dials 5
     """,
