--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -299,8 +299,8 @@
             actions = self.module.handle(event, now)
         except Exception:  # a fault in one call costs that call, not the agent
             log.exception("the module failed on %s", type(event).__name__)
-            if request is not None and request.state is State.OPEN:
-                self._give_final(request, lambda request: request.front.failed(request))
+            if request is not None:
+                self.fail(request)
             return
         for action in actions:
             try:
@@ -308,8 +308,8 @@
             except Exception:
                 log.exception("action %s failed", type(action).__name__)
                 call = self.find(getattr(action, "call", ""))
-                if call is not None and call.state is State.OPEN:
-                    self._give_final(call, lambda call: call.front.failed(call))
+                if call is not None:
+                    self.fail(call)
 
     def _perform(self, action: api.Action, now: float) -> None:
         match action:
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -237,5 +237,8 @@
             link.reply(message, avp.SUCCESS)
             if request.state is State.OPEN and attempt.link is not None:
                 self.servers[link.host].out.pop(attempt.link, None)
+                if outcome is Outcome.OK:
+                    self.broker.over_unheard(attempt)
+                    return
                 outcome = Outcome.RESET
             self.broker.ended(attempt, outcome)
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -91,6 +91,16 @@
         expect s1 CCR-I a
         expect s1 CCR-I b
     """,
+    "a call that ends before its answer came has failed, and is not sent again": SET_UP + """
+        send s0 ASR a cause=1
+        expect s0 ASA a result=2001
+        expect c1 CCA-I a result=5012
+        send s0 CCA a result=2001
+        wait 3000
+        expect s0 nothing
+        expect s1 nothing
+        expect c1 nothing
+    """,
     "a second copy of an answer, or one to nothing asked, changes nothing": SET_UP + """
         send s0 CCA a result=2001
         send s0 CCA a result=2001
