--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -67,6 +67,7 @@
         self.not_before = self.sent_at = now
         self.attempts, self.counted = 0, False
         self.out: Control | None = None
+        self.fault: Control | None = None  # the server that answered the last attempt with a fault
 
 
 class Control:
@@ -274,6 +275,11 @@
         share = call.worth / self.top
         usable = [control for control in self.controls.values() if self.usable(control, call, now)]
         named = [control for control in usable if control.server.number == call.first]
+        if call.fault is not None and not call.transit:
+            # Guards against a server that answers most set-ups with a fault: another with room comes first.
+            others = [control for control in usable if control is not call.fault and control.room(now, share)]
+            if others:
+                return self.random.choices(others, [control.size for control in others])[0]
         kept = [control for control in usable if control is self.kept and not call.transit]
         tried = named + kept
         for control in tried:
@@ -352,6 +358,8 @@
         elif event.note == api.NOTE_NUMBER_BUSY and call.number:
             tries = self.busy.get(call.number, (0.0, 0))[1] + 1
             self.busy[call.number] = (now + pause_ms(tries), tries)
+        elif event.outcome is Outcome.ERROR:
+            call.fault = control
         if event.closed:
             del self.calls[call.id]
         elif now >= call.end_at - 1.0 or call.attempts >= self.settings.try_limit:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -280,6 +280,14 @@
     assert (proxy.control().strikes > 0, proxy.control().skip_until > proxy.now) == (pause, pause)
 
 
+@pytest.mark.parametrize("servers, then", [(2, 1), (1, 0)])
+def test_after_a_fault_another_server_with_room_comes_first(servers: int, then: int) -> None:
+    proxy = Proxy(servers)
+    name, _ = proxy.call()
+    again = sends(proxy.fail(name, api.Outcome.ERROR))
+    assert [send.server for send in again] == [server(then).address]
+
+
 def test_the_only_server_is_tried_again_and_its_return_is_used() -> None:
     proxy = Proxy(1)
     name, _ = proxy.call()
