--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -10,22 +10,19 @@
 import logging
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
 from frostport import interface as api
+from frostport.core.calls import Attempt, Body, Front, Request, State
 from frostport.core.clock import Clock
 from frostport.core.contracts import Budgets
-from frostport.core.deadlines import Deadline, Deadlines
+from frostport.core.deadlines import Deadlines
 from frostport.core.rules import UNCLEAN, Rules
 from frostport.core.slots import Slots
 from frostport.interface import Outcome
 
 log = logging.getLogger("frostport.broker")
 
-Body = str | bytes  # a description, opaque here: each front is paired with a route that knows its form
-
 REMEMBER_MS = 60_000.0  # how long an ended call's id is known: releases may be repeated on later connections
 REMEMBER_MOST = 20_000  # and how many of them
 UNKNOWN_MOST, UNKNOWN_A_SECOND = 200.0, 50.0  # releases of unknown ids passed on: at once, and a second
@@ -38,63 +35,6 @@
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]: ...
 
 
-class State(Enum):
-    """Where a request stands."""
-
-    OPEN = "open"  # owes a final answer
-    STANDING = "standing"
-    OVER = "over"
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """One call: `id`, `key` and `description` go on to the server as they came."""
-
-    id: str
-    call_class: str
-    key: str
-    description: Body
-    end_at: float
-    front: Front
-    place: int  # the front's number of the connection it came on
-    team: str = "-"
-    slot: int = -1
-    state: State = State.OPEN
-    attempts: int = 0
-    attempt: Attempt | None = None  # the one that is out, or on which the call stands
-    not_before: float = 0.0
-    last_link: int = -1  # the route's number of the connection that the last attempt went out on
-    overdue: Deadline | None = None
-    stood_at: float = 0.0
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One set-up at one server."""
-
-    request: Request
-    number: int
-    server: str
-    sent_at: float
-    end_at: float
-    timeout: Deadline | None = None
-    link: int | None = None  # the route's number of the connection it went out on
-    out: bool = True
-
-
-class Front(Protocol):
-    """What the broker says towards clients. Each request hears one of the first three, once."""
-
-    def stands(self, request: Request, description: Body) -> None: ...
-
-    def refused(self, request: Request, stay_away_ms: float) -> None: ...
-
-    def failed(self, request: Request) -> None: ...
-
-    def over(self, call: str, place: int, outcome: Outcome) -> None:
-        """A call that stood has ended (`place` -1 where it isn't known on which connection it came)."""
-
-
 class Route(Protocol):
     """What the broker asks of the servers' side; outcomes come back to the broker's methods."""
 
--- a/frostport/core/rules.py
+++ b/frostport/core/rules.py
@@ -6,14 +6,11 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from frostport import interface as api
+from frostport.core.calls import Request
 from frostport.interface import Lifecycle, ListKind
 
-if TYPE_CHECKING:
-    from frostport.core.broker import Request
-
 log = logging.getLogger("frostport.rules")
 
 UNCLEAN = (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED)
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 
 from frostport import interface as api
-from frostport.core.broker import Body, Broker, Request, State
+from frostport.core.broker import Broker
+from frostport.core.calls import Body, Request, State
 from frostport.core.lifecycle import Lifecycle
 from frostport.core.slots import Slots
 from frostport.diameter import avp
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -11,7 +11,8 @@
 
 from frostport import interface as api
 from frostport.config import DiameterServer
-from frostport.core.broker import Attempt, Broker, Front, State
+from frostport.core.broker import Broker
+from frostport.core.calls import Attempt, Front, State
 from frostport.core.deadlines import Deadline
 from frostport.diameter import avp
 from frostport.diameter.avp import Message, make
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 
 from frostport import interface as api
-from frostport.core.broker import Body, Broker, Request, State
+from frostport.core.broker import Broker
+from frostport.core.calls import Body, Request, State
 from frostport.core.deadlines import Deadline
 from frostport.core.lifecycle import Lifecycle
 from frostport.core.slots import Slots
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -10,7 +10,8 @@
 from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
-from frostport.core.broker import Attempt, Broker, Front, State
+from frostport.core.broker import Broker
+from frostport.core.calls import Attempt, Front, State
 from frostport.core.deadlines import Deadline
 from frostport.core.slots import Slots
 from frostport.interface import (
