--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -8,7 +8,7 @@
 import random
 import signal
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -33,6 +33,10 @@
 from frostport.net.lobby import LobbyServers
 from frostport.net.peers import Peers, split
 
+if TYPE_CHECKING:  # both are loaded only where a store is set
+    from frostport.durability import Durability
+    from frostport.state.recovery import Restored
+
 log = logging.getLogger("frostport.agent")
 
 PROBE_TIMEOUT_MS = 250.0
@@ -98,6 +102,21 @@
         self.bus.move(config.bus)
         self.front.connections.limit = most_clients(config)
 
+    def resume(self, restored: Restored) -> None:
+        """Goes on with what was on record: the list, and releases owed to clients."""
+        if restored.offset >= 0:
+            self.list.resume(restored.offset, restored.version, [
+                (server, dial) for server, dial, _ in restored.servers.values() if dial])
+        self.front.resume(restored.owed)
+
+    def release(self, restored: Restored) -> None:
+        """Releases owed to servers, once these are known."""
+        self.servers.resume(restored.releases)
+
+    def calls(self, server: str) -> bool:
+        """Whether this server can still be called."""
+        return server in self.servers.lobbies
+
     def leave(self) -> None:
         """Nothing is said to anyone: calls that stand do so without this program."""
 
@@ -108,7 +127,7 @@
     def __init__(self, agent: Agent) -> None:
         config, wanted = agent.config, agent.config.diameter
         assert wanted is not None
-        identity = Identity(wanted.host, wanted.realm, int(agent.clock.now() / 1000.0),
+        identity = self.identity = Identity(wanted.host, wanted.realm, int(agent.clock.now() / 1000.0),
                             split(config.listen)[0])
         chance = random.Random(config.seed)
         numbers = {server.host: server.number for server in wanted.servers}
@@ -127,6 +146,25 @@
     def reload(self, config: Config) -> None:
         self.front.callers.limit = most_clients(config)
 
+    def resume(self, restored: Restored) -> None:
+        """Goes on with what was on record: this node's state id, peers, sessions, releases owed."""
+        if restored.state_id is not None:
+            self.identity.state_id = restored.state_id
+        self.front.resume(restored.owed)
+        for call, standing in restored.standing.items():
+            assert isinstance(standing.answer, bytes)
+            self.front.resume_session(call, standing.client, standing.team, "stands", standing.answer)
+        for call, over in restored.over.items():
+            if over.answer != "gone":
+                self.front.resume_session(call, over.client, "", over.answer, over.body, over.ended_by,
+                                          over.at)
+
+    def release(self, restored: Restored) -> None:
+        self.route.resume(restored.peers, restored.releases)
+
+    def calls(self, server: str) -> bool:
+        return server in self.route.servers
+
     def leave(self) -> None:
         self.route.ending = True
         self.front.disconnect()
@@ -153,7 +191,8 @@
 class Agent:
     """One call agent: the core, one front and one route."""
 
-    def __init__(self, config: Config, reactor: Any, clock: Clock | None = None) -> None:
+    def __init__(self, config: Config, reactor: Any, clock: Clock | None = None,
+                 durability: Durability | None = None) -> None:
         self.config, self.reactor = config, reactor
         self.path: pathlib.Path | None = None  # the file that the configuration came from
         self.clock, self.deadlines = clock or Clock(), Deadlines()
@@ -163,6 +202,9 @@
         self.broker = Broker(Controller(given, config.seed), self.rules, self.clock, self.deadlines,
                              PROBE_TIMEOUT_MS, contracts.Budgets(config.contracts))
         self.pump = Pump(reactor, self.clock, self.deadlines)
+        self.durability = durability
+        if durability is not None:
+            durability.join(self)
         self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
         self.listener: Any = None
         self._end: Deadline | None = None
@@ -176,9 +218,13 @@
 
     def start(self) -> None:
         """Opens everything; the list known at the start goes to the module first."""
+        if self.durability is not None:
+            self.durability.resume(self)
         host, port = split(self.config.listen)
         self.listener = self.reactor.listenTCP(port, self.side.factory(), backlog=512, interface=host)
         self.side.start()
+        if self.durability is not None:
+            self.durability.started(self)
         self.lifecycle.enter(Phase.SERVING)
 
     def reload(self) -> None:
@@ -225,6 +271,8 @@
                 if not self.broker.open:
                     self.finish()
             case Phase.STOPPED:
+                if self.durability is not None:
+                    self.durability.stop()
                 self.reactor.stop()
 
     def finish(self) -> None:
@@ -232,8 +280,11 @@
         if self._end is not None:
             self._end.cancel()
             self._end = None
-            self.side.leave()
-            self.deadlines.set(self.clock.now() + FLUSH_MS, lambda: self.lifecycle.enter(Phase.STOPPED))
+            self.broker.recorder.barrier(self._leave)  # an answer may still wait for its record
+
+    def _leave(self) -> None:
+        self.side.leave()
+        self.deadlines.set(self.clock.now() + FLUSH_MS, lambda: self.lifecycle.enter(Phase.STOPPED))
 
 
 def promises(config: Config) -> dict[str, tuple[float, float]]:
@@ -248,11 +299,16 @@
 
 
 def serve(config: Config, path: pathlib.Path | None = None, reactor: Any = None) -> int:
-    """Runs a call agent until it is told to end."""
+    """Runs a call agent until it is told to end. Raises StoreError where its store can't be opened."""
     if reactor is None:
         from twisted.internet import reactor
     report_faults()
-    agent = Agent(config, reactor)
+    durability = None
+    if config.store is not None:
+        from frostport import durability as part
+
+        durability = part.Durability.open(config.store)
+    agent = Agent(config, reactor, durability=durability)
     agent.path = path
 
     def on_term(signum: int, frame: object) -> None:
--- a/frostport/cli.py
+++ b/frostport/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line: `serve` (also without a word), `check-config`, `contracts`, `version`."""
+"""The command line: `serve` (also without a word), `check-config`, `contracts`, `store`, `version`."""
 
 from __future__ import annotations
 
@@ -13,7 +13,12 @@
 
 from frostport import config
 
-VERSION = "0.3.0"
+VERSION = "0.4.0"
+STORE = {"verify": "read all of a store and say whether it is sound, also beside a running agent",
+         "dump": "print what is kept, a JSON line a record",
+         "backup": "copy a store to an empty folder, also beside a running agent",
+         "compact": "clean a store that no agent uses",
+         "repair": "make a sound store of what can be read, and say exactly what is dropped"}
 
 
 def parser() -> argparse.ArgumentParser:
@@ -26,6 +31,13 @@
                              help=f"the configuration; else the file that {config.CONFIG_VARIABLE} names")
     contracts = commands.add_parser("contracts", help="read a service's OpenAPI or AsyncAPI description")
     contracts.add_argument("file", metavar="FILE", type=pathlib.Path)
+    stores = commands.add_parser("store", help="look after an embedded store").add_subparsers(
+        dest="what", metavar="WHAT", required=True)
+    for what, does in STORE.items():
+        command = stores.add_parser(what, help=does)
+        command.add_argument("folder", metavar="FOLDER", type=pathlib.Path)
+        if what == "backup":
+            command.add_argument("target", metavar="TARGET", type=pathlib.Path)
     commands.add_parser("version", help="print the version")
     return made
 
@@ -35,6 +47,10 @@
     if given.command == "version":
         print(f"frostport {VERSION}")
         return 0
+    if given.command == "store":
+        from frostport.cli.store import run
+
+        return run(given)
     try:
         if given.command == "contracts":
             for contract in config.load_contracts(given.file):
@@ -57,4 +73,12 @@
     from frostport.agent import serve
 
     gc.freeze()  # what was imported stays: the collector need not look at it again
-    return serve(loaded, path)
+    if loaded.store is None:
+        return serve(loaded, path)
+    from frostport.store.errors import StoreError
+
+    try:
+        return serve(loaded, path)
+    except StoreError as problem:
+        print(f"frostport: store: {problem}", file=sys.stderr)
+        return 2
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import ipaddress
 import pathlib
 import re
@@ -43,6 +44,7 @@
     peers: list[str]
     diameter: DiameterConfig | None = None
     contracts: tuple[Contract, ...] = ()
+    store: StoreConfig | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,21 @@
     sessions_lost_ms: float = 8_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreConfig:
+    """Where what must outlive a crash is kept, and what is done when that fails."""
+
+    path: pathlib.Path
+    durability: str = "always"
+    on_failure: str = "refuse"
+    interval_ms: float = 100.0
+    stall_ms: float = 1000.0
+    segment_bytes: int = 4 * 1024 * 1024
+    record_bytes: int = 256 * 1024
+    store_bytes: int = 1024 * 1024 * 1024
+    checkpoint_records: int = 20_000
+
+
 @dataclass(frozen=True, slots=True)
 class DiameterServer:
     """One lobby server of the operator's file."""
@@ -155,7 +172,42 @@
         peer_listen=address(record, "peer_listen", optional=True),
         peers=[check_address(f"peers.{index}", peer) for index, peer in enumerate(peers)],
         diameter=read_diameter(record, given) if "diameter" in record else None,
-        contracts=all_contracts(record, folder))
+        contracts=all_contracts(record, folder),
+        store=read_store(record, folder) if "store" in record else None)
+
+
+STORE_CHOICES = {"durability": ("always", "interval", "none"), "on_failure": ("refuse", "serve")}
+# Least and most of each size: a record has to fit what a Diameter message holds, a segment some records.
+STORE_SIZES = {"segment_bytes": (1024 * 1024, 1024 ** 3), "record_bytes": (128 * 1024, 16 * 1024 * 1024),
+               "store_bytes": (16 * 1024 * 1024, 1024 ** 4), "checkpoint_records": (100, 100_000_000)}
+
+
+def read_store(record: Mapping[str, Any], folder: pathlib.Path) -> StoreConfig:
+    at = "store."
+    section = field(record, "store", dict, {})
+    known = {item.name for item in dataclasses.fields(StoreConfig)}
+    for entry in section:
+        if entry not in known:
+            raise ConfigError(f"{at}{entry}: unknown field")
+    path = folder / name(f"{at}path", section.get("path"))
+    chosen: dict[str, Any] = {}
+    for entry, choices in STORE_CHOICES.items():
+        if entry in section:
+            if section[entry] not in choices:
+                raise ConfigError(f"{at}{entry}: none of {', '.join(choices)}")
+            chosen[entry] = section[entry]
+    for entry in ("interval_ms", "stall_ms"):
+        if entry in section:
+            chosen[entry] = milliseconds(section, entry, 0.0, at)
+    for entry, (least, most) in STORE_SIZES.items():
+        if entry in section:
+            chosen[entry] = field(section, entry, int, 0, at)
+            if not least <= chosen[entry] <= most:
+                raise ConfigError(f"{at}{entry}: not {least} to {most}")
+    made = StoreConfig(path, **chosen)
+    if made.record_bytes > made.segment_bytes:
+        raise ConfigError(f"{at}record_bytes: over segment_bytes")
+    return made
 
 
 def read_diameter(record: Mapping[str, Any], given: api.Settings) -> DiameterConfig:
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -9,7 +9,7 @@
 import dataclasses
 import logging
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from frostport import interface as api
@@ -17,6 +17,7 @@
 from frostport.core.clock import Clock
 from frostport.core.contracts import Budgets
 from frostport.core.deadlines import Deadlines
+from frostport.core.recorder import Recorder
 from frostport.core.rules import UNCLEAN, Rules
 from frostport.core.slots import Slots
 from frostport.interface import Outcome
@@ -26,6 +27,7 @@
 REMEMBER_MS = 60_000.0  # how long an ended call's id is known: releases may be repeated on later connections
 REMEMBER_MOST = 20_000  # and how many of them
 UNKNOWN_MOST, UNKNOWN_A_SECOND = 200.0, 50.0  # releases of unknown ids passed on: at once, and a second
+NOT_TAKEN_MS = 1000.0  # how long a call that can't be put on record is told to stay away
 OVERDUE_MS = 10.0  # a request still open this long after its caller's time gets its answer from the broker
 
 
@@ -59,6 +61,7 @@
                  probe_timeout_ms: float, budgets: Budgets | None = None) -> None:
         self.module, self.rules, self.clock, self.deadlines = module, rules, clock, deadlines
         self.probe_timeout_ms, self.budgets = probe_timeout_ms, budgets or Budgets()
+        self.recorder = Recorder()
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.route: Route | None = None
         self.requests: Slots[Request] = Slots()
@@ -89,7 +92,10 @@
         wait = self.budgets.wait_ms(request.team, request.call_class, now)
         if wait > 0.0:
             log.info("%s over the budget of %s", request.team, request.call_class)
-            self._give_final(request, lambda request: request.front.refused(request, wait))
+            self._refuse(request, wait)
+            return
+        if not self.recorder.takes():
+            self._refuse(request, NOT_TAKEN_MS)
             return
         event = dataclasses.replace(event, budget_ms=request.end_at - now)
         request.overdue = self.deadlines.set(request.end_at + OVERDUE_MS, lambda: self._overdue(request))
@@ -109,14 +115,16 @@
         """The client no longer waits for the answer."""
         if request.state is not State.OPEN:
             return
+        request.answer = "gone"
         self._close(request)
+        self.recorder.answered(request, self._where(request), lambda: None)
         self._feed(api.CallGone(request.id), request)
         self._withdraw(request)
 
     def fail(self, request: Request) -> None:
         """Answers a call without the module, which is told that nothing is owed any more."""
         if request.state is State.OPEN:
-            self._give_final(request, lambda request: request.front.failed(request))
+            self._fail(request)
             self._feed(api.CallGone(request.id), request)
 
     def release(self, request: Request) -> None:
@@ -125,7 +133,7 @@
         if request.state is not State.STANDING or attempt is None:
             return
         self._close(request)
-        self._route().release(attempt)
+        self.recorder.over(request, attempt.server, None, lambda: self._route().release(attempt))
         self._end(attempt, Outcome.CANCELLED)
 
     def release_unknown(self, call: str) -> None:
@@ -148,7 +156,10 @@
         self._stop(attempt)
         self._answered(request)
         request.state, request.stood_at = State.STANDING, now
-        request.front.stands(request, description)
+        request.answer = "stands"
+        request.answer_body = description if isinstance(description, bytes) else None
+        self.recorder.stands(request, attempt, description,
+                             lambda: request.front.stands(request, description))
         self._feed(api.CallStands(request.id, attempt.number, attempt.server, now - attempt.sent_at), request)
 
     def ended(self, attempt: Attempt, outcome: Outcome, note: int = 0, wait_ms: float = 0.0,
@@ -159,7 +170,8 @@
             return
         if request.state is State.STANDING:
             self._close(request)
-            request.front.over(request.id, request.place, outcome)
+            self.recorder.over(request, attempt.server, outcome,
+                               lambda: request.front.over(request.id, request.place, outcome))
         self._end(attempt, outcome, note, wait_ms, report)
 
     def over_unheard(self, attempt: Attempt, report: tuple[float, ...] = ()) -> None:
@@ -168,15 +180,16 @@
         Guards against sending it again: the server has ended the id, and would never tell of a second end."""
         request = attempt.request
         if request.attempt is attempt and request.state is State.OPEN:
+            request.answer = "failed"
             self._close(request)
-            request.front.failed(request)
+            self.recorder.answered(request, "", lambda: request.front.failed(request))
             self._end(attempt, Outcome.RESET, report=report)
 
     def over_unknown(self, call: str, front: Front, outcome: Outcome) -> None:
         """A server's release of an id not known here: a call set up before this program's start."""
         if call not in self.ended_ids:
             self._remember(call, 0.0)
-            front.over(call, -1, outcome)
+            self.recorder.owed(call, "", outcome, lambda: front.over(call, -1, outcome))
 
     def cut(self, server: str, before_ms: float, why: str) -> None:
         """A server's process has died: the calls that stood on it before are over."""
@@ -200,10 +213,18 @@
             elapsed = max(0.001, self.clock.now() - sent_at)
             self._feed(api.ServerReport(server, outcome, elapsed, report))
 
-    def listed(self, kind: api.ListKind, version: int, servers: Iterable[api.Server]) -> set[str]:
-        """The server list or changes to it; returns the servers that are no longer on it."""
+    def listed(self, kind: api.ListKind, version: int, servers: Iterable[api.Server],
+               dials: Mapping[str, str] | None = None) -> set[str]:
+        """The server list or changes to it; returns the servers that are no longer on it.
+
+        `dials`: the servers' addresses, where the list tells them."""
         servers = tuple(servers)
         removed = self.rules.listed(kind, servers, self.clock.now())
+        for server in servers:
+            if (told := self.rules.servers.get(server.address)) is not None:
+                self.recorder.listed(server, (dials or {}).get(server.address, ""), told.stop_at)
+        for address in removed:
+            self.recorder.unlisted(address)
         self._feed(api.ListUpdate(kind, version, servers))
         return removed
 
@@ -217,7 +238,7 @@
         """Answers whatever is still open."""
         for request in self.requests:
             if request.state is State.OPEN:
-                self._give_final(request, lambda request: request.front.failed(request))
+                self._fail(request)
 
     # The module's side
 
@@ -265,11 +286,11 @@
             case api.RefuseCall(call, stay_away):
                 request = self.find(call)
                 if request is not None and request.state is State.OPEN:
-                    self._give_final(request, lambda request: request.front.refused(request, stay_away))
+                    self._refuse(request, stay_away)
             case api.FailCall(call):
                 request = self.find(call)
                 if request is not None and request.state is State.OPEN:
-                    self._give_final(request, lambda request: request.front.failed(request))
+                    self._fail(request)
             case api.SetTimer(name, after):
                 self.deadlines.set(now + after, lambda: self._feed(api.TimerFired(name)))
             case api.Probe(server):
@@ -292,6 +313,18 @@
         end_at = min(request.end_at, now + within) if within > 0.0 else request.end_at
         attempt = request.attempt = Attempt(request, number, server, now, end_at)
         attempt.timeout = self.deadlines.set(end_at, lambda: self._timed_out(attempt))
+        self.recorder.sending(attempt, lambda: self._go(attempt))
+
+    def _go(self, attempt: Attempt) -> None:
+        """The attempt leaves, if it is still wanted now that it is on record."""
+        if not attempt.out:
+            return
+        now = self.clock.now()
+        if now > attempt.sent_at and self.rules.drained(attempt.server, now):
+            # Guards a draining server against what a slow disk has held back past the grace.
+            self._end(attempt, Outcome.NOT_SENT)
+            return
+        attempt.sent_at = now
         self._route().send(attempt)
 
     def _probe(self, server: str, now: float) -> None:
@@ -321,8 +354,9 @@
             request.not_before = now + self.rules.settings.release_guard_ms
             if request.id in self.ended_ids:
                 self.ended_ids[request.id] = (now, request.not_before)
+            self.recorder.guarded(request, attempt.server)
         if request.state is State.OPEN and self.budgets.spent(request.call_class, request.attempts):
-            self._give_final(request, lambda request: request.front.failed(request))
+            self._fail(request)
         self._feed(api.AttemptEnded(
             request.id, attempt.number, attempt.server, outcome, now - attempt.sent_at,
             request.state is not State.OPEN, note, wait_ms, report), request)
@@ -345,11 +379,23 @@
             log.warning("%s overdue: answered by the broker", request.id)
             self.fail(request)
 
-    def _give_final(self, request: Request, say: Callable[[Request], None]) -> None:
+    def _refuse(self, request: Request, stay_away_ms: float) -> None:
+        request.back_ms = stay_away_ms
+        self._give_final(request, "refused", lambda: request.front.refused(request, stay_away_ms))
+
+    def _fail(self, request: Request) -> None:
+        self._give_final(request, "failed", lambda: request.front.failed(request))
+
+    def _give_final(self, request: Request, answer: str, say: Callable[[], None]) -> None:
+        request.answer = answer
         self._close(request)
-        say(request)
+        self.recorder.answered(request, self._where(request), say)
         self._withdraw(request)
 
+    def _where(self, request: Request) -> str:
+        """The server where an attempt is out, or none."""
+        return request.attempt.server if request.attempt is not None and request.attempt.out else ""
+
     def _answered(self, request: Request) -> None:
         self.open -= 1
         if request.overdue is not None:
@@ -373,4 +419,4 @@
         self.ended_ids.move_to_end(call)
         while self.ended_ids and (len(self.ended_ids) > REMEMBER_MOST
                                   or next(iter(self.ended_ids.values()))[0] < now - REMEMBER_MS):
-            self.ended_ids.popitem(last=False)
+            self.recorder.forgotten(self.ended_ids.popitem(last=False)[0])
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -40,6 +40,13 @@
     last_link: int = -1  # the route's number of the connection that the last attempt went out on
     overdue: Deadline | None = None
     stood_at: float = 0.0
+    answer: str = ""  # once it is final: stands, refused, failed, gone
+    answer_body: Body | None = None  # what it was answered with, where duplicates may ask again
+    back_ms: float = 0.0  # how long its client was told to stay away
+    client: str = ""  # who asked, as the front names it
+    identity: int = 0  # the front's number of the request itself (Diameter's End-to-End id)
+    ended_by: int = -1  # and of the one that ended the call
+    print: int | None = None  # CRC-32 of the description; only of a call from before a restart
 
 
 @dataclass(slots=True, eq=False)
--- a/frostport/core/contracts.py
+++ b/frostport/core/contracts.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from frostport import interface as api
+from frostport.core.recorder import Recorder
 
 EXTENSION = "x-frostport-contract"
 METHODS = ("get", "put", "post", "delete", "options", "head", "patch", "trace")
@@ -116,6 +117,7 @@
     """One token bucket for each team and service under contract; whoever has no contract has no limit."""
 
     def __init__(self, contracts: Iterable[Contract] = ()) -> None:
+        self.recorder = Recorder()
         self.contracts = {contract.service: contract for contract in contracts}
         self._buckets: dict[tuple[str, str], tuple[float, float]] = {}  # tokens, and when they were counted
 
@@ -131,6 +133,7 @@
             self._prune(now)
         if tokens >= 1.0:
             self._buckets[team, service] = (tokens - 1.0, now)
+            self.recorder.spent(team, service, tokens - 1.0, now)
             return 0.0
         self._buckets[team, service] = (tokens, now)
         return (1.0 - tokens) / contract.set_ups_per_second * 1000.0
@@ -138,13 +141,23 @@
     def _prune(self, now: float) -> None:
         """Guards against team names without end: a bucket that is full again is as good as none."""
         rates = {service: contract.set_ups_per_second for service, contract in self.contracts.items()}
-        self._buckets = {key: (tokens, at) for key, (tokens, at) in self._buckets.items()
-                         if tokens + (now - at) / 1000.0 * rates[key[1]] < max(1.0, rates[key[1]] * BURST_S)}
+        self._keep({key: (tokens, at) for key, (tokens, at) in self._buckets.items()
+                    if tokens + (now - at) / 1000.0 * rates[key[1]] < max(1.0, rates[key[1]] * BURST_S)})
+
+    def _keep(self, buckets: dict[tuple[str, str], tuple[float, float]]) -> None:
+        for team, service in self._buckets.keys() - buckets.keys():
+            self.recorder.unspent(team, service)
+        self._buckets = buckets
+
+    def resume(self, buckets: Mapping[tuple[str, str], tuple[float, float]]) -> None:
+        """What was spent before a restart stays spent: tokens, and when they were counted."""
+        self._buckets = dict(buckets)
+        self._keep({key: bucket for key, bucket in buckets.items() if key[1] in self.contracts})
 
     def replace(self, contracts: Iterable[Contract]) -> None:
         """Other contracts from now on; what was spent stays spent."""
         self.contracts = {contract.service: contract for contract in contracts}
-        self._buckets = {key: bucket for key, bucket in self._buckets.items() if key[1] in self.contracts}
+        self._keep({key: bucket for key, bucket in self._buckets.items() if key[1] in self.contracts})
 
     def deadline_ms(self, service: str, left_ms: float) -> float:
         contract = self.contracts.get(service)
--- a/frostport/core/rules.py
+++ b/frostport/core/rules.py
@@ -56,6 +56,10 @@
             del self.servers[address]  # the list names ever new ones: nothing is kept of one that has left
         return removed
 
+    def resume(self, address: str, number: int, stop_at: float | None) -> None:
+        """What the list said before a restart; it stays in force until the list says otherwise."""
+        self.servers[address] = Told(number, stop_at)
+
     def against(self, request: Request, server: str, within_ms: float, now: float) -> str | None:
         """Why this send may not go, or None."""
         told = self.servers.get(server)
@@ -70,9 +74,12 @@
             return "too late"
         if told is None or (pools is not None and told.number not in pools):
             return "wrong server"
-        if told.stop_at is not None and now > told.stop_at + self.grace:
-            return "drained server"
-        return None
+        return "drained server" if self.drained(server, now) else None
+
+    def drained(self, server: str, now: float) -> bool:
+        """Whether a server has been draining past the grace."""
+        told = self.servers.get(server)
+        return told is not None and told.stop_at is not None and now > told.stop_at + self.grace
 
     def stop(self, request: Request, server: str, reason: str) -> None:
         self.stopped[reason] += 1
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from frostport import interface as api
@@ -47,6 +48,7 @@
     heeds_overload: bool
     waiting: list[tuple[PeerConnection, Message]] = field(default_factory=list)
     answer: tuple[int, list[Avp]] | None = None
+    ended_by: int = -1  # the End-to-End id of the termination that ended it
 
 
 class DiameterFront(Node):
@@ -141,7 +143,7 @@
             features is not None and bool((LOSS_ALGORITHM if vector is None else vector) & LOSS_ALGORITHM),
             [(link, message)])
         request = Request(name, cls.name, called, carried(message), self.clock.now() + left, self, link.slot,
-                          link.realm)
+                          link.realm, client=link.host, identity=message.end_to_end)
         self.broker.arrive(request, api.CallArrived(
             name, cls.name, "-", left, self.numbers.get(str(message.get(avp.DESTINATION_HOST)), -1),
             int.from_bytes(called.encode()[-6:], "big")))
@@ -153,22 +155,37 @@
         if known is not None and known.client != link.host:
             self._answer(link, message, avp.UNKNOWN_SESSION_ID, [], "the session is another client's")
             return
-        self.owed.pop(name, None)
+        self._settle(name)
         if request is None:
+            if known is not None and known.ended_by == message.end_to_end:
+                # The same termination again (RFC 6733, 5.5.4): its answer was lost, and is given again.
+                self.broker.recorder.barrier(lambda: self._answer(link, message, avp.SUCCESS, []))
+                return
+            if known is not None and known.answer is None:
+                del self.sessions[name]  # given up: its answer waits for a record, and is no longer owed
             self.broker.release_unknown(name)
             self._answer(link, message, avp.UNKNOWN_SESSION_ID, [], "no such session")
             return
+        request.ended_by = message.end_to_end
+        if known is not None and known.answer is None:
+            del self.sessions[name]  # given up: no answer is owed
+        elif known is not None:
+            known.ended_by = message.end_to_end
+            self._forget(name)
         if request.state is State.OPEN:
-            self.sessions.pop(name, None)  # given up: no answer is owed
             self.broker.gone(request)
         else:
-            self._forget(name)
             self.broker.release(request)
-        self._answer(link, message, avp.SUCCESS, [])
+        self.broker.recorder.barrier(lambda: self._answer(link, message, avp.SUCCESS, []))
 
     def answer(self, link: PeerConnection, message: Message) -> None:
         """A release was heard, whatever the client says of it."""
-        self.owed.pop(self.aborts.pop(message.hop_by_hop, ""), None)
+        self._settle(self.aborts.pop(message.hop_by_hop, ""))
+
+    def _settle(self, call: str) -> None:
+        """A release is no longer owed, if it was."""
+        if self.owed.pop(call, None) is not None:
+            self.broker.recorder.settled(call)
 
     def opened(self, link: PeerConnection) -> None:
         super().opened(link)
@@ -187,6 +204,7 @@
                 if not session.waiting and request is not None:
                     del self.sessions[name]
                     self.broker.gone(request)
+                    self.broker.release(request)  # where its answer waited for a record
 
     # From the broker
 
@@ -214,13 +232,32 @@
         session = self.sessions.get(call)
         client = session.client if session is not None else ""
         self._forget(call)
-        self.owed[call] = (client, outcome)
-        self.deadlines.set(self.clock.now() + OWED_MS, lambda: self._no_more(call))
+        self._owe(call, client, outcome, self.clock.now())
         self._abort(call, client, outcome)
 
+    def _owe(self, call: str, client: str, outcome: Outcome, since: float) -> None:
+        self.owed[call] = (client, outcome)
+        self.deadlines.set(since + OWED_MS, lambda: self._no_more(call))
+
+    def resume(self, owed: Mapping[str, tuple[str, Outcome, float]]) -> None:
+        """Releases owed since before a restart: client, outcome, since when."""
+        for call, (client, outcome, since) in owed.items():
+            self._owe(call, client, outcome, since)
+
+    def resume_session(self, call: str, client: str, realm: str, answer: str, body: bytes,
+                       ended_by: int = -1, over_at: float | None = None) -> None:
+        """A session from before a restart, with the answer that its duplicates get; `over_at`: when it
+        ended."""
+        results = {"stands": avp.SUCCESS, "refused": avp.TOO_BUSY}
+        session = Session(client, realm, False, [], ended_by=ended_by)
+        session.answer = (results.get(answer, avp.UNABLE_TO_COMPLY), avp.read_avps(body))
+        self.sessions[call] = session
+        if over_at is not None:
+            self.deadlines.set(over_at + REMEMBER_MS, lambda: self._drop(call, session))
+
     def _no_more(self, call: str) -> None:
         """Guards against clients that never answer a release: it is not owed for good."""
-        self.owed.pop(call, None)
+        self._settle(call)
         self.aborts = {hop: of for hop, of in self.aborts.items() if of != call}
 
     def _final(self, request: Request, result: int, avps: list[Avp]) -> None:
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from twisted.internet import defer
 from twisted.python.failure import Failure
@@ -12,7 +12,7 @@
 from frostport import interface as api
 from frostport.config import DiameterServer
 from frostport.core.broker import Broker
-from frostport.core.calls import Attempt, Front, State
+from frostport.core.calls import Attempt, Front, Request, State
 from frostport.core.deadlines import Deadline
 from frostport.diameter import avp
 from frostport.diameter.avp import Message, make
@@ -106,12 +106,16 @@
         before, server.state_id = server.state_id, link.state_id
         if before is not None and link.state_id is not None and link.state_id > before:
             self.broker.cut(server.host, self.clock.now(), "a new process: its sessions are gone")
+            for call in server.owed:
+                self.broker.recorder.release_paid(server.host, call)
             server.owed.clear()
+        self.broker.recorder.peer(server.host, link.state_id, server.started_ms)
         server.dialing = None
         super().opened(link)
         owed, server.owed = server.owed, []
         for call in owed:
             self._end_session(server, call)
+            self.broker.recorder.release_paid(server.host, call)
 
     def watched(self, peer: Peer, before: Watch, after: Watch) -> None:
         super().watched(peer, before, after)
@@ -119,6 +123,7 @@
         if after is Watch.OKAY:
             if before is Watch.REOPEN:
                 server.started_ms = self.clock.now()  # back on a new connection: treated as cold
+                self.broker.recorder.peer(server.host, server.state_id, server.started_ms)
             self.tell(server, Lifecycle.READY)
         elif after in (Watch.SUSPECT, Watch.DOWN):
             self.tell(server, Lifecycle.DRAINING)
@@ -138,17 +143,39 @@
         out, server.out = server.out, {}
         self.tell(server, Lifecycle.DRAINING)
         for attempt in out.values():
-            server.owed.append(attempt.request.id)  # it may have set the call up unheard
+            self._owe(server, attempt.request.id)  # it may have set the call up unheard
             self.broker.ended(attempt, Outcome.RESET)
-        server.lost = self.deadlines.set(self.clock.now() + self.sessions_lost_ms, lambda: self._gone(server))
+        self._await(server)
         self._redial(server)
 
+    def _await(self, server: ServerPeer) -> None:
+        server.lost = self.deadlines.set(self.clock.now() + self.sessions_lost_ms, lambda: self._gone(server))
+
+    def _owe(self, server: ServerPeer, call: str) -> None:
+        server.owed.append(call)
+        self.broker.recorder.release_owed(server.host, call)
+
+    def resume(self, peers: Mapping[str, tuple[int | None, float]],
+               releases: Iterable[tuple[str, str]]) -> None:
+        """What was on record before a restart: Origin-State-Ids and starts; servers and calls to be ended
+        there."""
+        for host, (state_id, started_ms) in peers.items():
+            if host in self.servers:
+                self.servers[host].state_id, self.servers[host].started_ms = state_id, started_ms
+        for host, call in releases:
+            if host in self.servers:
+                self._owe(self.servers[host], call)
+            else:
+                self.broker.recorder.release_paid(host, call)
+        for server in self.servers.values():
+            self._await(server)  # one that does not come back in time has lost what stood there
+
     def _gone(self, server: ServerPeer) -> None:
         """Away too long: what stood there is over towards its clients, and ended there when it is back."""
         for request in self.broker.requests:
             if request.state is State.STANDING and request.attempt is not None \
                     and request.attempt.server == server.host:
-                server.owed.append(request.id)
+                self._owe(server, request.id)
         self.broker.cut(server.host, self.clock.now(), "away too long")
         self.tell(server, Lifecycle.GONE)
 
@@ -180,7 +207,7 @@
     def _end_session(self, server: ServerPeer, call: str) -> None:
         link = server.open()
         if link is None:
-            server.owed.append(call)
+            self._owe(server, call)
         else:
             last = self.broker.rules.settings.try_limit
             link.ask(avp.CC, [
@@ -231,15 +258,19 @@
         if request is None:
             fresh = name not in self.broker.ended_ids
             self.broker.over_unknown(name, self.front, outcome)
-            link.reply(message, avp.SUCCESS if fresh else avp.UNKNOWN_SESSION_ID)
+            result = avp.SUCCESS if fresh else avp.UNKNOWN_SESSION_ID
+            self.broker.recorder.barrier(lambda: link.reply(message, result))
         elif attempt is None or attempt.server != link.host:
             link.reply(message, avp.UNKNOWN_SESSION_ID)
         else:
-            link.reply(message, avp.SUCCESS)
-            if request.state is State.OPEN and attempt.link is not None:
-                self.servers[link.host].out.pop(attempt.link, None)
-                if outcome is Outcome.OK:
-                    self.broker.over_unheard(attempt)
-                    return
-                outcome = Outcome.RESET
-            self.broker.ended(attempt, outcome)
+            self._over(link, request, attempt, outcome)
+            self.broker.recorder.barrier(lambda: link.reply(message, avp.SUCCESS))
+
+    def _over(self, link: PeerConnection, request: Request, attempt: Attempt, outcome: Outcome) -> None:
+        if request.state is State.OPEN and attempt.link is not None:
+            self.servers[link.host].out.pop(attempt.link, None)
+            if outcome is Outcome.OK:
+                self.broker.over_unheard(attempt)
+                return
+            outcome = Outcome.RESET
+        self.broker.ended(attempt, outcome)
--- /dev/null
+++ b/frostport/durability.py
@@ -0,0 +1,132 @@
+"""Joins the store to the agent: opens it, hands what comes back to who owns it, and ends it.
+
+Imported only where a store is configured.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from frostport.config import StoreConfig
+from frostport.core.calls import Attempt, Request, State
+from frostport.interface import Outcome
+from frostport.state import records, recovery
+from frostport.state.recorder import StoreRecorder, Trouble
+from frostport.state.recovery import Restored
+from frostport.store import committer
+from frostport.store.committer import Committer, ThreadWorker, Worker
+from frostport.store.engine import Engine, Limits
+from frostport.store.errors import StoreError
+from frostport.store.files import DiskFolder, Folder
+
+if TYPE_CHECKING:
+    from frostport.agent import Agent
+
+log = logging.getLogger("frostport.store")
+
+
+class Durability:
+    """The store as a part of the agent."""
+
+    def __init__(self, config: StoreConfig, engine: Engine, worker: Worker | None = None) -> None:
+        self.config, self.engine, self.worker = config, engine, worker
+        self.restored = Restored()
+        self.committer: Committer | None = None
+        self.recorder: StoreRecorder | None = None
+
+    @classmethod
+    def open(cls, config: StoreConfig, folder: Folder | None = None,
+             worker: Worker | None = None) -> Durability:
+        """Recovers the store. Raises StoreError: one line that names file and offset."""
+        limits = Limits(config.segment_bytes, config.record_bytes, config.store_bytes,
+                        config.checkpoint_records)
+        try:
+            return cls(config, Engine.open(folder or DiskFolder(config.path), limits), worker)
+        except OSError as problem:
+            raise StoreError(f"{problem.filename or config.path}: {problem.strerror or problem}") from None
+
+    def join(self, agent: Agent) -> None:
+        """Reads the records and puts the recorder in place. Raises StoreError where a record can't be
+        read."""
+        guard_ms = agent.rules.settings.release_guard_ms
+        try:
+            self.restored = recovery.restore(self.engine.take_recovered(), agent.clock.now(), guard_ms)
+        except records.BadRecordError as problem:
+            self.engine.close()
+            raise StoreError(f"{self.config.path}: record {problem}") from None
+        worker = self.worker or ThreadWorker(agent.reactor.callFromThread)
+        self.committer = Committer(
+            self.engine, worker, agent.clock, agent.deadlines, committer.Durability(self.config.durability),
+            self.config.interval_ms, self.config.stall_ms)
+        self.recorder = StoreRecorder(self.committer, agent.clock, Trouble(self.config.on_failure))
+        self.recorder.room = self._has_room
+        self.committer.changed = self._changed
+        agent.broker.recorder = agent.broker.budgets.recorder = self.recorder
+
+    def _has_room(self) -> bool:
+        return self.committer is None or not self.committer.full
+
+    def _changed(self, state: committer.State, why: str) -> None:
+        if self.recorder is not None:
+            self.recorder.trusted = state is committer.State.OPEN
+        if state is not committer.State.OPEN:
+            doing = "new calls are refused" if self.config.on_failure == "refuse" \
+                else "GOING ON WITHOUT: a crash now forgets calls"
+            log.error("store: %s: %s; %s", state.value, why, doing)
+
+    def resume(self, agent: Agent) -> None:
+        """Before anything is open: calls, guards, the list, budgets and what is owed go to their owners."""
+        restored, broker = self.restored, agent.broker
+        assert self.committer is not None and self.recorder is not None
+        if restored.set_back_ms > 0.0:
+            log.warning("store: the clock has gone back by %.0f ms since the last record",
+                        restored.set_back_ms)
+        self.committer.write([(key, None) for key in restored.dropped])
+        for call, standing in restored.standing.items():
+            stands(agent, call, standing)
+        for call, over in sorted(restored.over.items(), key=lambda item: item[1].at):
+            broker.ended_ids[call] = (over.at, over.not_before)
+        for address, (server, _, stop_at) in restored.servers.items():
+            broker.rules.resume(address, server.number, stop_at)
+        broker.budgets.resume(restored.budgets)
+        agent.side.resume(restored)
+        if restored.state_id is None and (identity := getattr(agent.side, "identity", None)) is not None:
+            self.recorder.node(identity.state_id)
+
+    def started(self, agent: Agent) -> None:
+        """Once the servers are known: releases owed to them; what stood where no server is left is over."""
+        agent.side.release(self.restored)
+        for request in agent.broker.requests:
+            if request.attempt is not None and not agent.side.calls(request.attempt.server):
+                agent.broker.ended(request.attempt, Outcome.RESET)
+        log.info("store: %d calls stand, %d ids are known, %d releases owed", len(agent.broker.requests),
+                 len(agent.broker.ended_ids), len(self.restored.releases) + len(self.restored.owed))
+        self.restored = Restored()
+
+    def stop(self) -> None:
+        """Writes what waits; waits for a bounded time."""
+        if self.committer is not None:
+            self.committer.close()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Plain data for console and records."""
+        engine, at = self.engine, self.committer
+        return {"state": at.state.value if at is not None else "joining", "failure": engine.failure,
+                "records": len(engine.places), "live_bytes": engine.live_bytes,
+                "log_bytes": engine.total_bytes, "segments": len(engine.segments), "sequence": engine.sequence, "synced": engine.synced,
+                "commits": at.commits if at is not None else 0, "changes": at.written if at is not None else
+                0,
+                "cleaned": engine.cleaned, "checkpoints": engine.checkpoints}
+
+
+def stands(agent: Agent, call: str, standing: records.Standing) -> None:
+    """A call that stands from before the restart: it has no connection, and its answer is its description."""
+    request = Request(call, standing.service, "", standing.answer, standing.at, agent.side.front, -1,
+                      standing.team, client=standing.client, identity=standing.identity)
+    request.state, request.stood_at, request.answer = State.STANDING, standing.at, "stands"
+    request.answer_body = standing.answer if isinstance(standing.answer, bytes) else None
+    request.print, request.attempts = standing.print, 1
+    request.attempt = Attempt(request, 0, standing.server, standing.at, standing.at, out=False)
+    request.slot = agent.broker.requests.add(request)
+    agent.broker.by_id[call] = request.slot
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -4,7 +4,7 @@
 
 import logging
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import orjson
@@ -32,19 +32,27 @@
     def __init__(self, broker: Broker, servers: LobbyServers) -> None:
         self.broker, self.servers = broker, servers
         self.offset, self.unread = 0, -1  # the last event had, and the last that could not be read
+        self.version = 0
         self.entries: dict[str, tuple[api.Server, str]] = {}
 
     def known(self, batch: list[dict[str, Any]], offset: int) -> None:
         """The events up to the start make one list, as the module last had it."""
-        version = 0
-        for event in batch:
-            version, whole, entries = parse(event)
-            if whole:
-                self.entries.clear()
-            self.entries.update({server.address: (server, dial) for server, dial in entries})
-        self.offset = max(self.offset, offset)
+        if offset >= self.offset:  # else the list on record is newer than the one that the start was given
+            self.entries.clear()
+            for event in batch:
+                self.version, whole, entries = parse(event)
+                if whole:
+                    self.entries.clear()
+                self.entries.update({server.address: (server, dial) for server, dial in entries})
+            self.offset = offset
         listed = [entry for entry in self.entries.values() if entry[0].state is not api.Lifecycle.GONE]
-        self._hand_on(api.ListKind.PERSISTED, version, listed)
+        self._hand_on(api.ListKind.PERSISTED, self.version, listed)
+        self.broker.recorder.bus(self.offset, self.version)
+
+    def resume(self, offset: int, version: int, entries: Iterable[tuple[api.Server, str]]) -> None:
+        """The list as it was on record: servers and their addresses."""
+        self.offset, self.version = offset, version
+        self.entries = {server.address: (server, dial) for server, dial in entries}
 
     def event(self, record: dict[str, Any]) -> None:
         """One later event; one that was heard before is passed over."""
@@ -62,10 +70,15 @@
                     raise
                 # Guards against asking for ever: told twice, it is the event and not the way that is bad.
                 log.error("event %d passed over: %s", offset, problem)
-                self.offset = offset
+                self._had(offset)
                 return
+            self.version = version
             self._hand_on(api.ListKind.COMPLETE if whole else api.ListKind.CHANGES, version, entries)
+        self._had(offset)
+
+    def _had(self, offset: int) -> None:
         self.offset = offset
+        self.broker.recorder.bus(offset, self.version)
 
     def _hand_on(self, kind: api.ListKind, version: int, entries: list[tuple[api.Server, str]]) -> None:
         log.info("list %d, %s: %s", version, kind.value, ", ".join(
@@ -74,7 +87,8 @@
             self.entries[server.address] = (server, dial)
             if server.state is not api.Lifecycle.GONE:
                 self.servers.add(server.address, dial, server.started_ms)
-        for host in self.broker.listed(kind, version, [server for server, _ in entries]):
+        dials = {server.address: dial for server, dial in entries}
+        for host in self.broker.listed(kind, version, [server for server, _ in entries], dials):
             self.entries.pop(host, None)
             self.servers.remove(host)
 
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -5,7 +5,8 @@
 import logging
 import math
 import re
-from collections.abc import Iterable
+import zlib
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from frostport import interface as api
@@ -203,7 +204,8 @@
     def start(self, connection: ClientConnection, message: Message) -> None:
         broker, tag, opts = self.broker, message.tag, message.opts
         if (known := broker.find(tag)) is not None:
-            self.twice(connection, known)
+            if not self.answered_again(connection, known, message):
+                self.twice(connection, known)
             return
         name, key = opts.get("class", ""), opts.get("key", "")
         left = jsonl.figures(f"left:{opts.get('left', '')}").get("left", math.nan)
@@ -221,7 +223,7 @@
             return
         team = opts.get("tenant", "-")
         request = Request(tag, name, key, message.blob, broker.clock.now() + left, self, connection.slot,
-                          team)
+                          team, client=connection.host)
         connection.open[tag] = request
         broker.arrive(request, api.CallArrived(
             tag, name, team, left, figures.get("dest", -1), int(key, 16) if key else 0,
@@ -237,24 +239,47 @@
             self.broker.fail(known)
         connection.hang_up()
 
+    def answered_again(self, connection: ClientConnection, known: Request, message: Message) -> bool:
+        """A client repeats a set-up whose answer was on record before a restart and may never have left.
+
+        It gets that answer, and there is no second set-up; False where this is another set-up."""
+        if known.print is None or known.state is not State.STANDING or message.blob is None \
+                or known.call_class != message.opts.get("class", "") \
+                or known.client not in ("", connection.host) \
+                or known.print != zlib.crc32(message.blob.encode()):
+            return False
+        known.place = connection.slot
+        connection.known = True
+        connection.say(Message("STARTED", known.id, blob=str(known.description)))
+        return True
+
     def finish(self, connection: ClientConnection, message: Message) -> None:
         """A give-up before the answer, or the release of a call that stands, on any connection."""
         request = self.broker.find(message.tag)
         if request is None:
             # Also where a give-up crosses our final answer: there the broker knows the id, and does nothing.
-            self.owed.pop(message.tag, None)
+            connection.open.pop(message.tag, None)
+            self._settle(message.tag)
             self.broker.release_unknown(message.tag)
-        elif request.state is State.OPEN:
-            self._answered(request)
-            self.broker.gone(request)
         else:
-            self.broker.release(request)
-        connection.say(Message("FINISHED", message.tag))
+            self._answered(request)
+            if request.state is State.OPEN:
+                self.broker.gone(request)
+            else:
+                self.broker.release(request)
+        self.broker.recorder.barrier(lambda: connection.say(Message("FINISHED", message.tag)))
 
     def heard(self, connection: ClientConnection, tag: str) -> None:
-        if self.owed.pop(tag, None) is not None:
+        if self._settle(tag):
             connection.known = True
 
+    def _settle(self, tag: str) -> bool:
+        """A release is no longer owed, if it was."""
+        if self.owed.pop(tag, None) is None:
+            return False
+        self.broker.recorder.settled(tag)
+        return True
+
     def lost(self, connection: ClientConnection) -> None:
         """The open set-ups of a connection go with it; what is owed on it goes to another."""
         if self.connections.get(connection.slot) is not connection:
@@ -262,7 +287,10 @@
         self.connections.free(connection.slot)
         opened, connection.open = list(connection.open.values()), {}
         for request in opened:
-            self.broker.gone(request)
+            if request.state is State.OPEN:
+                self.broker.gone(request)
+            else:
+                self.broker.release(request)  # its answer waits for its record, and has nobody to go to
         for owed in self.owed.values():
             if owed.slot == connection.slot:
                 owed.slot = -1
@@ -271,20 +299,23 @@
     # From the broker
 
     def _answered(self, request: Request) -> ClientConnection | None:
+        """Its connection, if that still waits for the answer: it has left, or has nobody to go to,
+        afterwards.
+
+        Guards against another connection in the same slot: an answer may have waited for its record."""
         connection = self.connections.get(request.place)
-        if connection is not None:
-            connection.open.pop(request.id, None)
+        if connection is None or connection.open.get(request.id) is not request:
+            return None
+        del connection.open[request.id]
         return connection
 
     def _say(self, request: Request, message: Message) -> None:
         connection = self._answered(request)
         if connection is not None:
+            connection.known = connection.known or message.verb == "STARTED"
             connection.say(message)
 
     def stands(self, request: Request, description: Body) -> None:
-        connection = self.connections.get(request.place)
-        if connection is not None:
-            connection.known = True
         self._say(request, Message("STARTED", request.id, blob=str(description)))
 
     def refused(self, request: Request, stay_away_ms: float) -> None:
@@ -301,6 +332,13 @@
         self._tell(call, connection if connection is not None and connection.usable() else None)
         self._watch()
 
+    def resume(self, owed: Mapping[str, tuple[str, Outcome, float]]) -> None:
+        """Releases owed since before a restart: client, outcome, since when. Each goes to whoever speaks
+        next."""
+        for call, (host, outcome, since) in owed.items():
+            self.owed[call] = Owed(CAUSES.get(outcome, jsonl.BROKEN), since, -1, host)
+        self._watch()
+
     def _tell(self, call: str, connection: ClientConnection | None) -> None:
         """Says a release on a connection, else on the best one there is."""
         owed, now = self.owed[call], self.broker.clock.now()
@@ -329,8 +367,9 @@
     def _again(self) -> None:
         """Guards against releases told to a client that does not hear: another one is told, for a while."""
         self._sweep, now = None, self.broker.clock.now()
-        self.owed = {call: owed for call, owed in self.owed.items()
-                     if now - owed.since < (KEEP_MS if owed.slot < 0 else REPEAT_MS)}
+        for call in [call for call, owed in self.owed.items()
+                     if now - owed.since >= (KEEP_MS if owed.slot < 0 else REPEAT_MS)]:
+            self._settle(call)
         for call, owed in self.owed.items():
             if now - owed.said_at >= max(UNHEARD_MS, owed.said_at - owed.since):  # at doubling gaps
                 self._tell(call, None)
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from twisted.internet import defer
 from twisted.internet.error import ConnectionRefusedError
@@ -182,6 +182,7 @@
         owed, self.owed = self.owed, {}
         for tag, cause in owed.items():
             connection.say(Message("FINISH", tag, rc=cause))
+            self.broker.recorder.release_paid(self.host, tag)
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             self.send(attempt)
@@ -208,6 +209,8 @@
     def leave(self) -> None:
         """The server is off the list: nothing is sent, no call stands there any more."""
         self.listed = False
+        for tag in self.owed:
+            self.broker.recorder.release_paid(self.host, tag)
         for deadline in (self.redial, self.checking):
             if deadline is not None:
                 deadline.cancel()
@@ -256,6 +259,7 @@
         """Ends a call that stands here: on any connection, on the next if none is open."""
         if not self.connections or not self.connections[0].say(Message("FINISH", tag, rc=cause)):
             self.owed[tag] = cause
+            self.broker.recorder.release_owed(self.host, tag)
             self.connect()
 
     def probe(self, number: int) -> None:
@@ -350,7 +354,7 @@
                 and request.attempt.server == self.host:
             over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
             self.broker.ended(request.attempt, over, report=self.report(message))
-        connection.say(Message("FINISHED", message.tag))
+        self.broker.recorder.barrier(lambda: connection.say(Message("FINISHED", message.tag)))
 
 
 class LobbyServers:
@@ -381,6 +385,14 @@
         if lobby is not None:
             lobby.leave()
 
+    def resume(self, releases: Iterable[tuple[str, str]]) -> None:
+        """Servers and calls: what is to be released there since before a restart."""
+        for host, tag in releases:
+            if host in self.lobbies:
+                self.lobbies[host].release(tag, jsonl.NORMAL)
+            else:
+                self.broker.recorder.release_paid(host, tag)
+
     def send(self, attempt: Attempt) -> None:
         lobby = self.lobbies.get(attempt.server)
         if lobby is None:
--- /dev/null
+++ b/frostport/state/recorder.py
@@ -0,0 +1,141 @@
+"""Turns what the core tells into records, and holds each effect back until its record counts as written.
+
+One key a call: the record of an attempt gives way to that of the call that stands, and this to that of the
+call
+that is over, so that no crash can leave two of them.
+"""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from collections.abc import Callable, Sequence
+from enum import Enum
+from typing import Protocol
+
+from frostport import interface as api
+from frostport.core.calls import Attempt, Body, Request
+from frostport.core.clock import Clock
+from frostport.core.recorder import Recorder, Then
+from frostport.interface import Outcome
+from frostport.state import records
+from frostport.state.records import BETWEEN, BUDGET, CALL, OWED, PEER, RELEASE, SERVER, Record
+
+log = logging.getLogger("frostport.state")
+
+Change = tuple[str, bytes | None]
+
+
+class Trouble(Enum):
+    """What an operator wants of new calls while the store can't be trusted."""
+
+    REFUSE = "refuse"
+    SERVE = "serve"
+
+
+class Sink(Protocol):
+    """Where the records go."""
+
+    def write(self, changes: Sequence[Change], then: Then | None = None) -> None: ...
+
+
+def print_of(body: Body) -> int:
+    return zlib.crc32(body if isinstance(body, bytes) else body.encode())
+
+
+class StoreRecorder(Recorder):
+    """Owns no table: what it writes is taken back by whoever told it."""
+
+    def __init__(self, sink: Sink, clock: Clock, trouble: Trouble = Trouble.REFUSE) -> None:
+        self.sink, self.clock, self.trouble = sink, clock, trouble
+        self.trusted = True  # the store answers
+        self.room: Callable[[], bool] = lambda: True  # and is not nearly full
+
+    def takes(self) -> bool:
+        return self.trouble is Trouble.SERVE or (self.trusted and self.room())
+
+    def barrier(self, then: Then) -> None:
+        self.sink.write((), then)
+
+    def _put(self, key: str, record: Record, then: Then | None = None) -> None:
+        self.sink.write(((key, records.encode(record)),), then)
+
+    def _drop(self, key: str) -> None:
+        self.sink.write(((key, None),))
+
+    # Calls
+
+    def _open(self, request: Request, server: str) -> records.Open:
+        return records.Open(server, self.clock.now(), request.not_before, request.attempts,
+                            request.call_class, request.team, request.client, request.identity)
+
+    def _over(self, request: Request, server: str) -> records.Over:
+        body = request.answer_body if isinstance(request.answer_body, bytes) else b""
+        return records.Over(request.answer, server, self.clock.now(), request.not_before, request.client,
+                            request.identity, request.ended_by, request.back_ms, body)
+
+    def sending(self, attempt: Attempt, then: Then) -> None:
+        self._put(CALL + attempt.request.id, self._open(attempt.request, attempt.server), then)
+
+    def guarded(self, request: Request, server: str) -> None:
+        record = self._over(request, server) if request.answer else self._open(request, server)
+        self._put(CALL + request.id, record)
+
+    def stands(self, request: Request, attempt: Attempt, body: Body, then: Then) -> None:
+        self._put(CALL + request.id, records.Standing(
+            attempt.server, self.clock.now(), request.call_class, request.team, request.client,
+            request.identity, print_of(request.description), body), then)
+
+    def answered(self, request: Request, server: str, then: Then) -> None:
+        self._put(CALL + request.id, self._over(request, server), then)
+
+    def over(self, request: Request, server: str, outcome: Outcome | None, then: Then) -> None:
+        changes: list[Change] = [(CALL + request.id, records.encode(self._over(request, server)))]
+        if outcome is not None:
+            # In one batch: a call whose end is on record and owed to nobody would never be told.
+            changes.append((OWED + request.id, self._owed(request.client, outcome)))
+        self.sink.write(changes, then)
+
+    def _owed(self, client: str, outcome: Outcome) -> bytes:
+        return records.encode(records.Owed(client, outcome.value, self.clock.now()))
+
+    def owed(self, call: str, client: str, outcome: Outcome, then: Then) -> None:
+        self.sink.write(((OWED + call, self._owed(client, outcome)),), then)
+
+    def settled(self, call: str) -> None:
+        self._drop(OWED + call)
+
+    def release_owed(self, server: str, call: str) -> None:
+        self._put(f"{RELEASE}{server}{BETWEEN}{call}", records.Release(self.clock.now()))
+
+    def release_paid(self, server: str, call: str) -> None:
+        self._drop(f"{RELEASE}{server}{BETWEEN}{call}")
+
+    def forgotten(self, call: str) -> None:
+        self._drop(CALL + call)
+
+    # All else
+
+    def spent(self, team: str, service: str, tokens: float, at: float) -> None:
+        self._put(f"{BUDGET}{team}{BETWEEN}{service}", records.Bucket(tokens, at))
+
+    def unspent(self, team: str, service: str) -> None:
+        self._drop(f"{BUDGET}{team}{BETWEEN}{service}")
+
+    def listed(self, server: api.Server, dial: str, stop_at: float | None) -> None:
+        self._put(SERVER + server.address, records.Listed(
+            server.number, server.state.value, server.zone, server.started_ms, server.nominal, server.kind,
+            dial, stop_at, self.clock.now()))
+
+    def unlisted(self, address: str) -> None:
+        self._drop(SERVER + address)
+
+    def bus(self, offset: int, version: int) -> None:
+        self._put(records.BUS, records.Bus(offset, version, self.clock.now()))
+
+    def peer(self, host: str, state_id: int | None, started_ms: float) -> None:
+        self._put(PEER + host, records.PeerState(-1 if state_id is None else state_id, started_ms,
+                                                 self.clock.now()))
+
+    def node(self, state_id: int) -> None:
+        self._put(records.NODE, records.Node(state_id, self.clock.now()))
--- a/frostport/store/committer.py
+++ b/frostport/store/committer.py
@@ -27,7 +27,7 @@
 PENDING_MOST = 100_000  # changes that wait for a disk that hangs; past it the store has failed
 CHANGES_A_STEP = 16  # one step of cleaning or checkpoint for so many changes, and one for each commit
 
-Done = Callable[[], None]
+Done = Callable[[], object]
 
 
 class Durability(Enum):
@@ -116,7 +116,8 @@
         """Records changes; `then` runs once they count as written, or at once where the store can't be used.
 
         In order: what was written before is written, and heard of, before."""
-        if self.state in (State.FAILED, State.CLOSED):
+        at_once = not changes and self._running is None and not self._groups and not self._waiting
+        if self.state in (State.FAILED, State.CLOSED) or at_once:
             if then is not None:
                 then()
             return
@@ -173,12 +174,16 @@
 
     def _tidied(self, outcome: Outcome) -> None:
         self._tidying = False
+        if self.state is State.CLOSED:
+            return
         if outcome.failure is not None:
             self._fail(outcome.failure)
         elif outcome.more and self._running is None:
             self._tidy(1)
 
     def _finished(self, outcome: Outcome, count: int) -> None:
+        if self.state is State.CLOSED:
+            return
         running, self._running = self._running or [], None
         if self._watch is not None:
             self._watch.cancel()
