--- a/frostport/durability.py
+++ b/frostport/durability.py
@@ -112,12 +112,12 @@
     def snapshot(self) -> dict[str, Any]:
         """Plain data for console and records."""
         engine, at = self.engine, self.committer
-        return {"state": at.state.value if at is not None else "joining", "failure": engine.failure,
-                "records": len(engine.places), "live_bytes": engine.live_bytes,
-                "log_bytes": engine.total_bytes, "segments": len(engine.segments), "sequence": engine.sequence, "synced": engine.synced,
-                "commits": at.commits if at is not None else 0, "changes": at.written if at is not None else
-                0,
-                "cleaned": engine.cleaned, "checkpoints": engine.checkpoints}
+        return {
+            "state": at.state.value if at is not None else "joining", "failure": engine.failure,
+            "records": len(engine.places), "live_bytes": engine.live_bytes, "log_bytes": engine.total_bytes,
+            "segments": len(engine.segments), "sequence": engine.sequence, "synced": engine.synced,
+            "commits": at.commits if at is not None else 0, "changes": at.written if at is not None else 0,
+            "cleaned": engine.cleaned, "checkpoints": engine.checkpoints}
 
 
 def stands(agent: Agent, call: str, standing: records.Standing) -> None:
