--- /dev/null
+++ b/benchmarks/store.py
@@ -0,0 +1,304 @@
+"""Measures the store: `python -m benchmarks.store [PART ...] [--against CHECKOUT]`, all parts by default.
+
+Each part measures its two sides in turns within one run, since machines are noisy. Nothing here is part of
+CI.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import resource
+import shutil
+import socket
+import sqlite3
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+
+from frostport.state import records
+from frostport.store.engine import Engine, Limits
+from frostport.store.files import DiskFolder
+from standins.lobby import Books, Caller, Lobby, configuration
+
+ROOT = pathlib.Path(__file__).parent.parent
+ROUNDS = 5
+
+
+def call_record(number: int) -> tuple[str, bytes]:
+    """A standing call as the platform's front keeps it."""
+    return f"call/{number:016x}", records.encode(records.Standing(
+        f"10.0.0.{number % 9}:5060", 1.8e12 + number, "find-race", "studio-7", "10.1.2.3", 0, number, True,
+        b"table 7 of server 12"))
+
+
+def percentile(values: list[float], share: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(len(values) * share))]
+
+
+def median_of(measures: list[Callable[[], float]]) -> list[float]:
+    """Each measure in turn, several rounds: the median of each."""
+    found: list[list[float]] = [[] for _ in measures]
+    for _ in range(ROUNDS):
+        for measure, values in zip(measures, found, strict=True):
+            values.append(measure())
+    return [statistics.median(values) for values in found]
+
+
+# Durable writes a second
+
+
+def engine_writes(batch: int, seconds: float = 1.0) -> float:
+    with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+        engine = Engine.open(DiskFolder(pathlib.Path(folder)))
+        count, end = 0, time.perf_counter() + seconds
+        while time.perf_counter() < end:
+            engine.append([call_record((count + at) % 5000) for at in range(batch)])
+            engine.sync()
+            engine.tidy()
+            count += batch
+        engine.close()
+        return count / seconds
+
+
+def sqlite_writes(batch: int, seconds: float = 1.0) -> float:
+    with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+        database = sqlite3.connect(pathlib.Path(folder) / "db", isolation_level=None)
+        database.execute("PRAGMA journal_mode=WAL")
+        database.execute("PRAGMA synchronous=FULL")
+        database.execute("CREATE TABLE kept (key TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
+        count, end = 0, time.perf_counter() + seconds
+        while time.perf_counter() < end:
+            database.execute("BEGIN")
+            database.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?)",
+                                 [call_record((count + at) % 5000) for at in range(batch)])
+            database.execute("COMMIT")
+            count += batch
+        database.close()
+        return count / seconds
+
+
+def writes() -> None:
+    for batch in (1, 64):
+        ours, theirs = median_of([lambda batch=batch: engine_writes(batch),  # type: ignore[misc]
+                                  lambda batch=batch: sqlite_writes(batch)])  # type: ignore[misc]
+        print(f"writes, {batch} a commit: {ours:,.0f} records a second, SQLite FULL (WAL) {theirs:,.0f}: "
+              f"{ours / theirs:.2f} times")
+    grouped, single = median_of([lambda: engine_writes(64), lambda: sqlite_writes(1)])
+    print(f"writes, group commit of 64 against one transaction a record: {grouped / single:.1f} times")
+
+
+# Recovery
+
+
+def recovery() -> None:
+    for history, live in ((10 ** 4, 1000), (10 ** 5, 1000), (10 ** 6, 1000), (10 ** 5, 10 ** 5),
+                          (10 ** 6, 10 ** 6)):
+        with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+            path = pathlib.Path(folder)
+            engine = Engine.open(DiskFolder(path))
+            for at in range(0, history, 200):
+                engine.append([call_record((at + number) % live) for number in range(200)])
+                while engine.tidy():
+                    pass
+            engine.sync()
+            size = engine.total_bytes
+            # As after a SIGKILL: no close, the last checkpoint is what there is.
+            engine.folder.unlock()
+            engine.index.close()
+            times = []
+            for keep_index in (True, False):
+                for name in path.glob("index.db*"):
+                    if not keep_index:
+                        name.unlink()
+                begin = time.perf_counter()
+                again = Engine.open(DiskFolder(path))
+                times.append((time.perf_counter() - begin) * 1000.0)
+                assert len(again.recovered) == live
+                again.folder.unlock()
+                again.index.close()
+            print(f"recovery, {history:,} records, {live:,} live, log {size / 1e6:.1f} MB: "
+                  f"{times[0]:,.1f} ms, by the log alone {times[1]:,.1f} ms")
+
+
+# The longest turn of the reactor's thread while the store's thread works
+
+
+def stall() -> None:
+    for live in (1000, 100_000):
+        with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+            engine = Engine.open(DiskFolder(pathlib.Path(folder)))
+            for at in range(0, live, 200):
+                engine.append([call_record(at + number) for number in range(200)])
+            engine.sync()
+            while engine.tidy():
+                pass
+            stop = threading.Event()
+
+            def churn(engine: Engine = engine, live: int = live, stop: threading.Event = stop) -> None:
+                chance = random.Random(1)
+                while not stop.is_set():
+                    engine.append([call_record(chance.randrange(live)) for _ in range(32)])
+                    engine.sync()
+                    for _ in range(3):
+                        engine.tidy()
+
+            rest = longest_turns(3.0)
+            before = engine.cleaned
+            thread = threading.Thread(target=churn)
+            thread.start()
+            busy = longest_turns(6.0)
+            stop.set()
+            thread.join()
+            print(f"stall, {live:,} live: longest turn {max(busy):.1f} ms while "
+                  f"{engine.cleaned - before} segments were cleaned and {engine.checkpoints} checkpoints "
+                  f"written, p99.9 {percentile(busy, 0.999):.2f} ms; at rest {max(rest):.1f} ms")
+
+
+def longest_turns(seconds: float) -> list[float]:
+    """Turns of a loop that does a little work and yields, as the reactor's does; each in ms."""
+    turns, end = [], time.perf_counter() + seconds
+    last = time.perf_counter()
+    while last < end:
+        sum(range(200))
+        time.sleep(0.0002)
+        now = time.perf_counter()
+        turns.append((now - last) * 1000.0)
+        last = now
+    return turns
+
+
+# The whole program, at 200 calls a second
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+async def load(checkout: pathlib.Path, store: dict[str, object] | None, calls_a_second: float,
+               seconds: float) -> tuple[list[float], float, float]:
+    """Waits for answers in ms, CPU ms a call, and the program's memory in MB."""
+    books = Books()
+    lobbies = [Lobby(f"h{number}", books, random.Random(number), longest_ms=0.1, busy=0.0)
+               for number in (0, 1)]
+    ports = [await lobby.start() for lobby in lobbies]
+    port = free_port()
+    with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+        path = pathlib.Path(folder) / "config.json"
+        more = {} if store is None else {"store": {"path": "s", **store}}
+        path.write_text(json.dumps(configuration(port, ports, **more)), encoding="utf-8")
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "frostport", "serve", "--config", str(path), cwd=checkout,
+            stderr=subprocess.DEVNULL)
+        callers = [Caller(number, books, random.Random(number), lambda: port, gap_ms=4000.0 / calls_a_second)
+                   for number in range(4)]
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        while books.answers < 50:
+            await asyncio.sleep(0.05)
+        books.waits_ms.clear()
+        cpu, count = cpu_ms(program.pid), books.answers
+        await asyncio.sleep(seconds)
+        cpu, count = cpu_ms(program.pid) - cpu, books.answers - count
+        memory = memory_mb(program.pid)
+        program.terminate()
+        await program.wait()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for lobby in lobbies:
+            assert lobby.server is not None
+            lobby.server.close()
+        assert not books.faults, books.faults
+        return books.waits_ms, cpu / count, memory
+
+
+def cpu_ms(process: int) -> float:
+    fields = pathlib.Path(f"/proc/{process}/stat").read_text(encoding="utf-8").rpartition(") ")[2].split()
+    return (int(fields[11]) + int(fields[12])) * 1000.0 / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(process: int) -> float:
+    pages = int(pathlib.Path(f"/proc/{process}/statm").read_text(encoding="utf-8").split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+def latency() -> None:
+    sides = {"without": None, "always": {"durability": "always"}, "interval": {"durability": "interval"}}
+    waits: dict[str, list[float]] = {name: [] for name in sides}
+    costs: dict[str, list[tuple[float, float]]] = {name: [] for name in sides}
+    for _ in range(3):
+        for name, store in sides.items():
+            found, cpu, memory = asyncio.run(load(ROOT, store, 200.0, 6.0))  # type: ignore[arg-type]
+            waits[name] += found
+            costs[name].append((cpu, memory))
+    for name, values in waits.items():
+        cpu, memory = (statistics.median(column) for column in zip(*costs[name], strict=True))
+        print(f"latency, 200 calls a second, {name}: p50 {percentile(values, 0.5):.2f} ms, "
+              f"p99 {percentile(values, 0.99):.2f} ms; {cpu:.2f} ms CPU a call, {memory:.1f} MB")
+
+
+def off(against: pathlib.Path) -> None:
+    """The program without a store beside an earlier checkout's."""
+    ours: list[tuple[float, float]] = []
+    theirs: list[tuple[float, float]] = []
+    starts: dict[str, list[float]] = {"ours": [], "theirs": []}
+    for _ in range(ROUNDS):
+        for checkout, into in ((ROOT, ours), (against, theirs)):
+            _, cpu, memory = asyncio.run(load(checkout, None, 200.0, 6.0))
+            into.append((cpu, memory))
+        for checkout, name in ((ROOT, "ours"), (against, "theirs")):
+            begin = time.perf_counter()
+            subprocess.run([sys.executable, "-c", "import frostport.agent, frostport.cli"], cwd=checkout,
+                           check=True)
+            starts[name].append((time.perf_counter() - begin) * 1000.0)
+    cpus = [statistics.median(cpu for cpu, _ in side) for side in (ours, theirs)]
+    memories = [statistics.median(memory for _, memory in side) for side in (ours, theirs)]
+    start = [statistics.median(values) for values in starts.values()]
+    print(f"off: {cpus[0]:.3f} ms CPU a call, before {cpus[1]:.3f}: {cpus[0] / cpus[1]:.2f} times; "
+          f"{memories[0]:.1f} MB, before {memories[1]:.1f}; imports {start[0]:.0f} ms, before {start[1]:.0f}")
+
+
+def size() -> None:
+    with tempfile.TemporaryDirectory(dir=ROOT) as folder:
+        engine = Engine.open(DiskFolder(pathlib.Path(folder)), Limits(checkpoint_records=100))
+        for at in range(0, 20_000, 200):
+            engine.append([call_record(at + number) for number in range(200)])
+        engine.close()
+        log = sum(file.stat().st_size for file in pathlib.Path(folder).glob("log-*"))
+        index = (pathlib.Path(folder) / "index.db").stat().st_size
+        print(f"size: {log / 20_000:.0f} bytes of log and {index / 20_000:.0f} of index a live call")
+
+
+PARTS: dict[str, Callable[[], None]] = {
+    "writes": writes, "recovery": recovery, "stall": stall, "latency": latency, "size": size}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", choices=[*PARTS, []], metavar="PART", help=", ".join(PARTS))
+    parser.add_argument("--against", type=pathlib.Path, metavar="CHECKOUT",
+                        help="measure the program without a store beside this checkout's")
+    given = parser.parse_args()
+    if given.against is not None:
+        off(given.against.resolve())
+        return
+    with contextlib.suppress(KeyboardInterrupt):
+        for part in given.parts or PARTS:
+            PARTS[part]()
+            sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    assert shutil.disk_usage(ROOT).free > 2e9, "not enough room to measure"
+    main()
--- a/frostport/store/engine.py
+++ b/frostport/store/engine.py
@@ -16,8 +16,8 @@
 from frostport.store import frames, recovery
 from frostport.store.errors import FailedError, LimitError
 from frostport.store.files import File, Folder
-from frostport.store.frames import MANIFEST, MANIFEST_MAGIC, SEGMENT, Change
-from frostport.store.index import Index, Place, Point, grain
+from frostport.store.frames import MANIFEST, MANIFEST_MAGIC, Change
+from frostport.store.index import SEGMENT, SEQUENCE, SIZE, Index, Place, Point, grain
 from frostport.store.mark import Mark
 from frostport.store.recovery import MANIFEST_NAME, Contents, Segment
 
@@ -48,9 +48,9 @@
         self.places = contents.places
         self.recovered = contents.values
         self.sequence = self.synced = contents.sequence
-        self.live_bytes = sum(place.size for place in self.places.values())
+        self.live_bytes = sum(place[SIZE] for place in self.places.values())
         self.total_bytes = sum(segment.size for segment in self.segments)
-        self.digest = sum(grain(key, place.sequence) for key, place in self.places.items())
+        self.digest = sum(grain(place[SEQUENCE]) for place in self.places.values())
         self.failure: str | None = None
         self.cleaned = self.checkpoints = 0
         self._dirty: dict[str, Place | None] = {}
@@ -59,8 +59,13 @@
         self._point: Point | None = None
         self._files: dict[int, File] = {}
         if contents.from_index is None:
+            index.lose("made again from the log")
+            index.open()
             self._dirty.update(self.places)
             self._since = limits.checkpoint_records if self.places else 0
+        else:
+            self._dirty.update((key, self.places.get(key)) for key in contents.changed)
+            self._since = len(self._dirty)
 
     # Opening and closing
 
@@ -75,8 +80,6 @@
             contents = recovery.read(folder, index)
             if contents is None:
                 contents = create(folder, secrets.randbits(32) if store is None else store)
-                index.lose("made anew with its store")
-                index.open()
             mark = mend(folder, contents)
         except BaseException:
             index.close()
@@ -113,6 +116,7 @@
         Returns the sequence number of its last record. Raises LimitError (nothing was written) or
         FailedError."""
         self._check()
+        changes = self._needed(changes)
         if not changes:
             return self.sequence
         first = self.sequence + 1
@@ -136,9 +140,15 @@
         self._write(changes, parts, size)
         return self.sequence
 
+    def _needed(self, changes: Sequence[Change]) -> Sequence[Change]:
+        """Without deletions of what is not there: they would only fill the log."""
+        put = {key for key, value in changes if value is not None}
+        return [change for change in changes
+                if change[1] is not None or change[0] in self.places or change[0] in put]
+
     def _write(self, changes: Sequence[Change], parts: list[bytes], size: int) -> None:
         active = self.segments[-1]
-        if active.size + size > self.limits.segment_bytes and active.size > SEGMENT.size:
+        if active.size + size > self.limits.segment_bytes and active.size > frames.SEGMENT.size:
             active = self._roll()
         try:
             self._file(active).append(b"".join(parts))
@@ -148,10 +158,10 @@
             self.sequence += 1
             self._forget(key)
             if value is not None:
-                place = self.places[key] = Place(self.sequence, active.number, active.size, len(part))
+                self.places[key] = (self.sequence, active.number, active.size, len(part))
                 active.live[key] = None
-                self.live_bytes += place.size
-                self.digest += grain(key, place.sequence)
+                self.live_bytes += len(part)
+                self.digest += grain(self.sequence)
             if self.index.database is not None:
                 self._dirty[key] = self.places.get(key)
                 self._since += 1
@@ -161,9 +171,9 @@
     def _forget(self, key: str) -> None:
         old = self.places.pop(key, None)
         if old is not None:
-            self.live_bytes -= old.size
-            self.digest -= grain(key, old.sequence)
-            del self._segment(old.segment).live[key]
+            self.live_bytes -= old[SIZE]
+            self.digest -= grain(old[SEQUENCE])
+            del self._segment(old[SEGMENT]).live[key]
 
     def sync(self) -> int:
         """Makes all that was appended durable; returns up to which record. Raises FailedError."""
@@ -181,14 +191,14 @@
     def _roll(self) -> Segment:
         """A new segment: its predecessor is durable first, so that only the last one may ever be torn."""
         self.sync()
-        segment = Segment(self.segments[-1].number + 1, self.sequence + 1, SEGMENT.size)
+        segment = Segment(self.segments[-1].number + 1, self.sequence + 1, frames.SEGMENT.size)
         try:
             self._files[segment.number] = start_segment(self.folder, self.store, segment)
             self.folder.sync()
         except OSError as problem:
             raise self._fail(frames.segment_name(segment.number), 0, problem) from problem
         self.segments.append(segment)
-        self.total_bytes += SEGMENT.size
+        self.total_bytes += frames.SEGMENT.size
         return segment
 
     # Work in the background, in bounded steps
@@ -217,7 +227,7 @@
         size = 0
         for key in itertools.islice(oldest.live, COPIES):
             changes.append((key, self.value(key)))
-            size += self.places[key].size
+            size += self.places[key][SIZE]
             if size >= COPY_BYTES:
                 break
         if changes:
@@ -246,7 +256,7 @@
     def compact(self) -> None:
         """Cleans every segment that is there now, whatever it holds."""
         last = self.segments[-1].number - 1
-        if self.segments[-1].size > SEGMENT.size:
+        if self.segments[-1].size > frames.SEGMENT.size:
             last = self._roll().number - 1
         while self.segments[0].number <= last:
             self._clean()
@@ -257,7 +267,7 @@
         active = self.segments[-1]
         self._point = Point(self.store, self.sequence, active.number, active.size, len(self.places),
                             self.digest)
-        self._rows, self._dirty, self._since = iter(list(self._dirty.items())), {}, 0
+        self._rows, self._dirty, self._since = iter(self._dirty.items()), {}, 0
 
     def _checkpoint_step(self) -> None:
         assert self._rows is not None and self._point is not None
@@ -287,14 +297,15 @@
         place = self.places.get(key)
         if place is None:
             return None
-        segment = self._segment(place.segment)
+        sequence, number, offset, size = place
+        segment = self._segment(number)
         name = frames.segment_name(segment.number)
         try:
-            frame = frames.decode(self._file(segment).read_at(place.offset, place.size), 0, place.offset)
+            frame = frames.decode(self._file(segment).read_at(offset, size), 0, offset)
         except OSError as problem:
-            raise self._fail(name, place.offset, problem) from problem
-        if frame is None or frame.key != key or frame.sequence != place.sequence:
-            raise self._fail(name, place.offset, OSError(5, "a live record is no longer readable"))
+            raise self._fail(name, offset, problem) from problem
+        if frame is None or frame.key != key or frame.sequence != sequence:
+            raise self._fail(name, offset, OSError(5, "a live record is no longer readable"))
         return frame.value
 
     def values(self) -> Iterator[tuple[str, bytes]]:
@@ -352,7 +363,7 @@
         if frames.segment_number(name) is not None:
             folder.remove(name)
     Mark.create(folder, store).close()
-    segment = Segment(1, 1, SEGMENT.size)
+    segment = Segment(1, 1, frames.SEGMENT.size)
     start_segment(folder, store, segment).close()
     folder.sync()
     write_manifest(folder, store, segment)
--- a/frostport/store/frames.py
+++ b/frostport/store/frames.py
@@ -1,6 +1,6 @@
 """The forms on disk: frames of the log, heads of segments, the mark, the manifest. Nothing here opens a file.
 
-A frame is `length u32, crc u32, sequence u64, flags u8`, little-endian, then the payload: a msgpack array of
+A frame is `crc u32, length u32, sequence u64, flags u8`, little-endian, then the payload: a msgpack array of
 key
 and value, the value nil where the key is deleted. The CRC-32C covers all but itself. LAST ends a batch: a
 batch
@@ -11,7 +11,7 @@
 
 import struct
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import NamedTuple
 
 import google_crc32c
 import msgspec
@@ -19,7 +19,8 @@
 FORMAT = 1
 LAST = 1  # the frame that ends a batch
 FRAME = struct.Struct("<IIQB")
-COVERED = struct.Struct("<IQB")
+CRC = struct.Struct("<I")
+COVERED = struct.Struct("<IQB")  # the head after the CRC
 SEGMENT = struct.Struct("<8sIIQQI")  # magic, format, store, number, first sequence, crc
 MARK = struct.Struct("<8sIQI")  # magic, store, sequence, crc
 MANIFEST = struct.Struct("<8sIIQQI")  # magic, format, store, oldest segment, its first sequence, crc
@@ -31,8 +32,7 @@
 _decode = msgspec.msgpack.Decoder(tuple[str, bytes | None]).decode
 
 
-@dataclass(frozen=True, slots=True)
-class Frame:
+class Frame(NamedTuple):
     """One record as it stands in a segment; `size` counts its head."""
 
     sequence: int
@@ -50,8 +50,8 @@
 def encode(change: Change, sequence: int, last: bool) -> bytes:
     payload: bytes = _encode(change)
     flags = LAST if last else 0
-    crc = google_crc32c.extend(google_crc32c.value(COVERED.pack(len(payload), sequence, flags)), payload)
-    return FRAME.pack(len(payload), crc, sequence, flags) + payload
+    body = COVERED.pack(len(payload), sequence, flags) + payload
+    return CRC.pack(google_crc32c.value(body)) + body
 
 
 def decode(data: bytes, at: int, base: int = 0) -> Frame | None:
@@ -59,15 +59,14 @@
     there."""
     if at + FRAME.size > len(data):
         return None
-    length, crc, sequence, flags = FRAME.unpack_from(data, at)
+    crc, length, sequence, flags = FRAME.unpack_from(data, at)
     end = at + FRAME.size + length
     if end > len(data) or flags & ~LAST:
         return None
-    payload = data[at + FRAME.size:end]
-    if google_crc32c.extend(google_crc32c.value(COVERED.pack(length, sequence, flags)), payload) != crc:
+    if google_crc32c.value(data[at + CRC.size:end]) != crc:
         return None
     try:
-        key, value = _decode(payload)
+        key, value = _decode(data[at + FRAME.size:end])
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     return Frame(sequence, base + at, FRAME.size + length, bool(flags & LAST), key, value)
@@ -83,7 +82,7 @@
 
 def with_crc(form: struct.Struct, *fields: object) -> bytes:
     head = form.pack(*fields, 0)[:-4]
-    return head + struct.pack("<I", checksum(head))
+    return head + CRC.pack(checksum(head))
 
 
 def read_fixed(form: struct.Struct, magic: bytes, data: bytes) -> tuple[int, ...] | None:
--- a/frostport/store/index.py
+++ b/frostport/store/index.py
@@ -11,9 +11,8 @@
 
 import logging
 import sqlite3
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
 
 import google_crc32c
 
@@ -29,16 +28,14 @@
     "CREATE TABLE IF NOT EXISTS live (key TEXT PRIMARY KEY, sequence INTEGER, segment INTEGER,"
     " offset INTEGER, size INTEGER) WITHOUT ROWID",
     "CREATE TABLE IF NOT EXISTS point (one INTEGER PRIMARY KEY, store INTEGER, sequence INTEGER,"
-    " segment INTEGER, offset INTEGER, count INTEGER, digest INTEGER, crc INTEGER)")
+    " segment INTEGER, offset INTEGER, count INTEGER, digest TEXT, crc INTEGER)")
 
 
-class Place(NamedTuple):
-    """Where a live record stands."""
-
-    sequence: int
-    segment: int
-    offset: int
-    size: int
+# Where a live record stands: sequence, segment, offset, size. A plain tuple, which the collector of cycles
+# lets
+# alone: a hundred thousand objects of any other kind would be looked through, at a stall, again and again.
+Place = tuple[int, int, int, int]
+SEQUENCE, SEGMENT, OFFSET, SIZE = range(4)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,9 +56,11 @@
         return int(google_crc32c.value(repr(self.fields()).encode()))
 
 
-def grain(key: str, sequence: int) -> int:
-    """One record's part of the digest, which is the sum of them all."""
-    return int(google_crc32c.value(b"%d %b" % (sequence, key.encode())))
+def grain(sequence: int) -> int:
+    """One record's part of the digest, which is the sum of them all.
+
+    The sequence stands for the record: that it is the key's is checked where the log is read."""
+    return sequence * sequence
 
 
 class Index:
@@ -92,8 +91,8 @@
             except OSError as problem:
                 log.warning("store: %s: not removed: %s", name, problem)
 
-    def load(self, store: int) -> tuple[Point, dict[str, Place]] | None:
-        """The last checkpoint with its rows, if they agree with each other."""
+    def point(self, store: int) -> Point | None:
+        """What the last checkpoint says of itself, its rows not yet looked at."""
         if self.database is None:
             return None
         try:
@@ -101,23 +100,37 @@
                 "SELECT store, sequence, segment, offset, count, digest, crc FROM point").fetchone()
             if row is None:
                 return None
-            if not all(isinstance(value, int) for value in row):
+            # The digest outgrows SQLite's integers, and is kept as text.
+            if not all(isinstance(value, int) for value in (*row[:5], row[6])) or not isinstance(row[5], str):
                 raise ValueError("the checkpoint's row is damaged")
-            point = Point(*row[:6])
+            written, sequence, segment, offset, count, digest, crc = row
+            point = Point(written, sequence, segment, offset, count, int(digest))
+            if crc != point.crc() or written != store:
+                raise ValueError("the checkpoint is damaged, or another store's")
+        except (sqlite3.Error, ValueError, OSError, OverflowError) as problem:
+            self.lose(f"in doubt, made again from the log: {problem}")
+            return None
+        return point
+
+    def rows(self, point: Point) -> dict[str, Place] | None:
+        """The rows of a checkpoint, if they agree with it."""
+        if self.database is None:
+            return None
+        try:
             rows: dict[str, Place] = {}
             total = 0
-            for key, *place in self.database.execute("SELECT key, sequence, segment, offset, size FROM live"):
-                if not isinstance(key, str) or not all(isinstance(value, int) for value in place):
+            for key, sequence, segment, offset, size in self.database.execute(
+                    "SELECT key, sequence, segment, offset, size FROM live"):
+                if not isinstance(key, str) or not isinstance(sequence, int):
                     raise ValueError("a row is damaged")
-                rows[key] = Place(*place)
-                total += grain(key, place[0])
-            if row[6] != point.crc() or point.store != store or point.count != len(rows) \
-                    or point.digest != total:
+                rows[key] = (sequence, segment, offset, size)
+                total += grain(sequence)
+            if point.count != len(rows) or point.digest != total:
                 raise ValueError("rows and digest differ")
         except (sqlite3.Error, ValueError, OSError, OverflowError) as problem:
             self.lose(f"in doubt, made again from the log: {problem}")
             return None
-        return point, rows
+        return rows
 
     def write(self, rows: Iterable[tuple[str, Place | None]]) -> None:
         """A part of a checkpoint; nothing of it holds before `finish`."""
@@ -145,20 +158,13 @@
             if not self.writing:
                 self.database.execute("BEGIN")
             self.database.execute("INSERT OR REPLACE INTO point VALUES (1, ?, ?, ?, ?, ?, ?, ?)",
-                                  (*point.fields(), point.crc()))
+                                  (*point.fields()[:5], str(point.digest), point.crc()))
             self.database.execute("COMMIT")
             self.writing = False
             self.folder.committed(NAME, self.database)
         except (sqlite3.Error, OSError, ValueError) as problem:
             self.lose(f"not written: {problem}")
 
-    def replace(self, rows: Mapping[str, Place], point: Point) -> None:
-        """All of it anew, after a restart that could not use it."""
-        if self.database is None:
-            self.open()
-        self.write((key, place) for key, place in rows.items())
-        self.finish(point)
-
     def close(self) -> None:
         database, self.database, self.writing = self.database, None, False
         if database is not None:
--- a/frostport/store/recovery.py
+++ b/frostport/store/recovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import gc
 import itertools
 import logging
 from dataclasses import dataclass, field
@@ -13,12 +14,13 @@
 from frostport.store import frames, mark
 from frostport.store.errors import DamagedError, UnknownFormatError
 from frostport.store.files import Folder
-from frostport.store.frames import MANIFEST, SEGMENT, Frame
-from frostport.store.index import Index, Place, Point
+from frostport.store.frames import MANIFEST, Frame
+from frostport.store.index import OFFSET, SEGMENT, SEQUENCE, SIZE, Index, Place, Point, grain
 
 log = logging.getLogger("frostport.store")
 
 MANIFEST_NAME = "manifest"
+WORTH = 2  # the index is used where the log has so many times the records that are live; else it is slower
 
 
 @dataclass(slots=True)
@@ -44,17 +46,29 @@
     values: dict[str, bytes] = field(default_factory=dict)
     sequence: int = 0  # the last whole batch's last record
     torn: int = 0  # bytes after it
-    from_index: Point | None = None
+    point: Point | None = None  # the last checkpoint, its index not yet held against the log
+    from_index: Point | None = None  # the same, once the index agrees with the log
+    changed: dict[str, None] = field(default_factory=dict)  # the keys changed since
     leavings: list[str] = field(default_factory=list)  # files of no more use
 
     def put(self, segment: Segment, frame: Frame) -> None:
+        self.changed[frame.key] = None
         old = self.places.pop(frame.key, None)
         if old is not None:
             self.values.pop(frame.key, None)
         if frame.value is not None:
-            self.places[frame.key] = Place(frame.sequence, segment.number, frame.offset, frame.size)
+            self.places[frame.key] = (frame.sequence, segment.number, frame.offset, frame.size)
             self.values[frame.key] = frame.value
 
+    def ended(self, sequence: int) -> None:
+        """A batch is taken in. Where the checkpoint was made, the index either agrees or is in doubt."""
+        self.sequence = sequence
+        if self.point is not None and sequence == self.point.sequence and self.from_index is None \
+                and self.point.count == len(self.places) \
+                and self.point.digest == sum(grain(place[SEQUENCE]) for place in self.places.values()):
+            self.from_index = self.point
+            self.changed.clear()
+
 
 def manifest(folder: Folder) -> tuple[int, int, int] | None:
     """Store id, the oldest segment and its first sequence; None where there is no store yet."""
@@ -62,7 +76,7 @@
     if MANIFEST_NAME not in names:
         whole = [name for name in names if frames.segment_number(name) is not None]
         # A creation that was cut short has left one segment at most, with its head alone.
-        if len(whole) > 1 or any(size_of(folder, name) > SEGMENT.size for name in whole):
+        if len(whole) > 1 or any(size_of(folder, name) > frames.SEGMENT.size for name in whole):
             raise DamagedError(MANIFEST_NAME, -1, "missing, and there is a log")
         return None
     data = whole_file(folder, MANIFEST_NAME)
@@ -95,6 +109,16 @@
     """All of a store, by its index where that holds, else by its whole log; None where there is none yet.
 
     Raises DamagedError where anything acknowledged may be missing, UnknownFormatError, OSError."""
+    collecting = gc.isenabled()
+    gc.disable()  # guards a large store against a collector that looks through all of it again and again
+    try:
+        return read_all(folder, index)
+    finally:
+        if collecting:
+            gc.enable()
+
+
+def read_all(folder: Folder, index: Index | None) -> Contents | None:
     found = manifest(folder)
     if found is None:
         return None
@@ -111,26 +135,32 @@
     contents = Contents(store, acknowledged.sequence)
     contents.leavings = [frames.segment_name(number) for number in numbers if number < oldest]
     contents.leavings += [name for name in folder.names() if name.endswith(".new")]
-    known = index.load(store) if index is not None else None
-    if known is None or not by_index(folder, contents, listed, first, *known):
-        if known is not None and index is not None:
-            index.lose("in doubt, made again from the log")
-        contents.segments, contents.places, contents.values = [], {}, {}
-        contents.from_index, contents.sequence = None, first - 1
+    contents.point = point = index.point(store) if index is not None else None
+    done = False
+    if index is not None and point is not None and WORTH * point.count <= point.sequence - first + 1:
+        rows = index.rows(point)
+        done = rows is not None and by_index(folder, contents, listed, first, point, rows)
+        if not done:
+            contents.segments, contents.places, contents.values, contents.changed = [], {}, {}, {}
+            contents.from_index = contents.point = None
+    if not done:
+        contents.sequence = first - 1
         by_log(folder, contents, listed, 0)
+    if index is not None and point is not None and contents.from_index is None:
+        index.lose("in doubt, made again from the log")
     if contents.sequence < contents.acknowledged:
         last = contents.segments[-1]
         raise DamagedError(frames.segment_name(last.number), last.size,
                            f"the log ends at record {contents.sequence}, but {contents.acknowledged} "
                            "was acknowledged")
     for key, place in contents.places.items():
-        contents.segments[place.segment - oldest].live[key] = None
+        contents.segments[place[SEGMENT] - oldest].live[key] = None
     return contents
 
 
 def head(folder: Folder, contents: Contents, number: int, data: bytes) -> int | None:
     """The first sequence that a segment's head names; None where the head is not sound."""
-    fields = frames.read_fixed(SEGMENT, frames.SEGMENT_MAGIC, data)
+    fields = frames.read_fixed(frames.SEGMENT, frames.SEGMENT_MAGIC, data)
     if fields is None or fields[0] != frames.FORMAT or fields[1] != contents.store or fields[2] != number:
         return None
     return fields[3]
@@ -153,9 +183,9 @@
             raise DamagedError(name, 0, "its head is not readable")
         if first != contents.sequence + 1:
             raise DamagedError(name, 0, f"begins at record {first}, not {contents.sequence + 1}")
-        segment = Segment(number, first, SEGMENT.size)
+        segment = Segment(number, first, frames.SEGMENT.size)
         contents.segments.append(segment)
-        follow(contents, segment, data, SEGMENT.size)
+        follow(contents, segment, data, frames.SEGMENT.size)
         contents.torn = len(data) - segment.size
         if contents.torn and not last:
             raise DamagedError(name, segment.size, "not readable")
@@ -169,7 +199,8 @@
         if frame.last:
             for one in batch:
                 contents.put(segment, one)
-            contents.sequence, segment.size = frame.sequence, frame.offset + frame.size
+            segment.size = frame.offset + frame.size
+            contents.ended(frame.sequence)
             batch.clear()
 
 
@@ -181,8 +212,8 @@
         return False
     wanted: dict[int, list[tuple[int, str, Place]]] = {}
     for key, place in rows.items():
-        wanted.setdefault(place.segment, []).append((place.offset, key, place))
-    if not wanted.keys() <= set(listed):
+        wanted.setdefault(place[SEGMENT], []).append((place[OFFSET], key, place))
+    if not wanted.keys() <= set(listed) or sum(map(len, wanted.values())) != len(rows):
         return False
     for number in listed[:listed.index(point.segment) + 1]:
         name = frames.segment_name(number)
@@ -193,19 +224,19 @@
         segment = Segment(number, begins, len(data))
         contents.segments.append(segment)
         for offset, key, place in sorted(wanted.get(number, ())):
-            frame = frames.decode(data, offset)
-            if frame is None or frame.key != key or frame.sequence != place.sequence or frame.value is None \
-                    or frame.size != place.size or frame.sequence > point.sequence:
+            # Guards against a row that has been damaged into something else that an index could hold.
+            frame = frames.decode(data, offset) if isinstance(offset, int) and offset >= 0 else None
+            if frame is None or frame.key != key or frame.value is None or frame.sequence > point.sequence \
+                    or (frame.sequence, frame.size) != (place[SEQUENCE], place[SIZE]):
                 return False
             contents.places[key], contents.values[key] = place, frame.value
     if point.offset > len(data):
         return False
-    contents.sequence, segment.size = point.sequence, point.offset
+    contents.sequence, segment.size, contents.from_index = point.sequence, point.offset, point
     follow(contents, segment, data, point.offset)
     contents.torn = len(data) - segment.size
     if number != listed[-1]:
         if contents.torn:
             return False
         by_log(folder, contents, listed, listed.index(number) + 1)
-    contents.from_index = point
     return True
--- a/frostport/store/tools.py
+++ b/frostport/store/tools.py
@@ -12,6 +12,7 @@
 from frostport.store.errors import DamagedError, LockedError, StoreError
 from frostport.store.files import DiskFolder, Folder
 from frostport.store.frames import FRAME, SEGMENT, Frame
+from frostport.store.index import SIZE
 from frostport.store.mark import Mark
 from frostport.store.recovery import MANIFEST_NAME, Contents, Segment
 
@@ -68,7 +69,7 @@
 def verify(path: pathlib.Path) -> Verified:
     found = contents(path)
     return Verified(len(found.places), len(found.segments), sum(segment.size for segment in found.segments),
-                    sum(place.size for place in found.places.values()), found.sequence, found.acknowledged,
+                    sum(place[SIZE] for place in found.places.values()), found.sequence, found.acknowledged,
                     found.torn)
 
 
@@ -217,7 +218,7 @@
 def next_frame(data: bytes, at: int, sequence: int) -> int:
     """Where the next sound frame begins, or the end."""
     while at < len(data) - FRAME.size:
-        length, _, number, flags = FRAME.unpack_from(data, at)
+        _, length, number, flags = FRAME.unpack_from(data, at)
         if flags <= frames.LAST and number > sequence and at + FRAME.size + length <= len(data) \
                 and frames.decode(data, at) is not None:
             return at
--- /dev/null
+++ b/tests/test_sigkill.py
@@ -0,0 +1,103 @@
+"""The real program, killed by SIGKILL at random points under load, on one store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import signal
+import socket
+import sys
+
+from frostport.state import records
+from frostport.store import tools
+from standins.lobby import Books, Caller, Lobby, configuration
+
+KILLS, CLIENTS = 50, 6
+PATIENCE_S = 20.0
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+async def up(port: int) -> None:
+    for _ in range(int(PATIENCE_S / 0.005)):
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionError:
+            await asyncio.sleep(0.005)
+        else:
+            writer.close()
+            return
+    raise TimeoutError("the program does not listen")
+
+
+async def killed_often(folder: pathlib.Path, seed: int) -> Books:
+    chance, books = random.Random(seed), Books()
+    lobbies = [Lobby(f"h{number}", books, random.Random(number)) for number in (0, 1)]
+    ports = [await lobby.start() for lobby in lobbies]
+    port = free_port()
+    path = folder / "config.json"
+    path.write_text(json.dumps(configuration(port, ports, store={"path": "s.store"})), encoding="utf-8")
+    callers = [Caller(number, books, random.Random(100 + number), lambda: port) for number in range(CLIENTS)]
+    tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    with (folder / "log").open("wb") as log:
+        for kill in range(KILLS + 1):
+            program = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "frostport", "serve", "--config", str(path), stderr=log)
+            try:
+                await up(port)
+                if kill < KILLS:
+                    await asyncio.sleep(chance.uniform(0.0, 0.15))
+                    program.kill()
+                    continue
+                # The last life: clients release all they know of, servers end what nobody knows of.
+                for caller in callers:
+                    caller.asking = False
+                await settled(lambda: not any(caller.asked or caller.mine or caller.releasing
+                                              for caller in callers))
+                await asyncio.sleep(1.2)  # the guard and what servers told again
+                left = {call for lobby in lobbies for call in lobby.held}
+                for call in left - books.unsure:
+                    books.fault(f"{call}: left at a server, and its client knows nothing of it")
+                for lobby in lobbies:
+                    lobby.end_all()
+                await asyncio.sleep(0.3)
+                program.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
+            finally:
+                with contextlib.suppress(ProcessLookupError):
+                    program.kill()
+                await program.wait()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return books
+
+
+async def settled(done: object, patience_s: float = PATIENCE_S) -> None:
+    assert callable(done)
+    for _ in range(int(patience_s / 0.05)):
+        if done():
+            return
+        await asyncio.sleep(0.05)
+    raise TimeoutError("calls without an answer")
+
+
+def test_fifty_sigkills_under_load(tmp_path: pathlib.Path) -> None:
+    books = asyncio.run(killed_often(tmp_path, 4))
+    print(f"{books.answers} answers, {books.refused} refused, {len(books.unsure)} never known")
+    assert books.faults == []
+    assert books.answers - books.refused > 5 * KILLS
+    log = (tmp_path / "log").read_text(encoding="utf-8")
+    assert "Traceback" not in log and "stopped:" not in log
+    found = tools.contents(tmp_path / "s.store")
+    assert found.sequence > 1000 and found.torn == 0
+    standing = [key for key, value in found.values.items()
+                if isinstance(records.decode(key, value)[2], records.Standing)]
+    assert standing == []
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -28,7 +28,7 @@
     UnknownFormatError,
 )
 from frostport.store.files import DiskFolder, Folder
-from frostport.store.index import Index
+from frostport.store.index import OFFSET, SEGMENT, SIZE, Index
 from standins.files import MemoryFolder, PowerLostError
 
 SMALL = Limits(segment_bytes=512, record_bytes=256, store_bytes=4096, checkpoint_records=12)
@@ -56,12 +56,14 @@
     it."""
     folder, model = MemoryFolder(), Model()
     engine = Engine.open(folder, SMALL, store=77)
-    for number, changes in enumerate(batches(random.Random(5), 60, 40)):
+    for number, changes in enumerate(batches(random.Random(5), 200, 40)):
         model = applied(model, changes)
         engine.append(changes)
         engine.sync()
         if number == 45:
             engine.checkpoint()
+        if number >= 60 and len(engine.segments[0].live) > 2:
+            break
     oldest = engine.segments[0]
     with mock.patch("frostport.store.engine.COPIES", 2):
         engine._clean()
@@ -77,7 +79,7 @@
     engine = Engine.open(folder, SMALL)
     contents = engine.take_recovered()
     assert contents == dict(engine.values())
-    assert engine.digest >= 0 and engine.live_bytes == sum(place.size for place in engine.places.values())
+    assert engine.digest >= 0 and engine.live_bytes == sum(place[SIZE] for place in engine.places.values())
     engine.append([("after", b"1")])  # what came back can be written to
     engine.sync()
     folder.unlock()
@@ -89,8 +91,11 @@
 
 
 @pytest.mark.parametrize("how", ["cut", "flipped"])
-def test_every_file_cut_and_flipped_at_every_byte(how: str) -> None:
+@pytest.mark.parametrize("worth", [0, 10 ** 6], ids=["by index", "by log"])
+def test_every_file_cut_and_flipped_at_every_byte(how: str, worth: int,
+                                                  monkeypatch: pytest.MonkeyPatch) -> None:
     """A cut and a flipped bit are not a lost power: what was acknowledged is there, or the store says no."""
+    monkeypatch.setattr(recovery, "WORTH", worth)
     folder, acknowledged, written = small_store()
     files = folder.contents()
     refused = came_back = 0
@@ -174,8 +179,9 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_power_lost_at_every_step_of_a_life(seed: int) -> None:
+def test_power_lost_at_every_step_of_a_life(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """At each operation on a file the power goes; the restart itself loses power, too, before it succeeds."""
+    monkeypatch.setattr(recovery, "WORTH", seed)
     whole = MemoryFolder()
     life(whole, seed, {}, [{}])
     assert {"replace manifest", "remove log-0000000001", "image index.db"} <= set(whole.log)
@@ -413,7 +419,7 @@
     data = bytearray(log.read_bytes())
     contents = tools.contents(source)
     first = contents.segments[0].number
-    at = min(place.offset for place in contents.places.values() if place.segment == first)
+    at = min(place[OFFSET] for place in contents.places.values() if place[SEGMENT] == first)
     data[at + 20] ^= 4
     log.write_bytes(data)
     with pytest.raises(DamagedError, match=f"{log.name}:"):
