Connections go through one gate on both fronts; who makes room is chosen by address first

One address could take the whole table, and a connection just accepted, its first line on the way, made room first. frostport/admission decides now for both fronts: caps by address, prefix, team and for those not yet identified, rates, a reserve for known clients, back-off, a ladder with hysteresis, ledgers of descriptors and buffered bytes; set under admission in the configuration, live on SIGHUP.

--- a/frostport/admission/gate.py
+++ b/frostport/admission/gate.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter, OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -110,7 +111,7 @@
             reason = self._make_room(known, now, shed)
         if reason is not None:
             self.refused[reason] += 1
-            return Verdict(None, reason)
+            return Verdict(None, reason, tuple(shed))
         self._next += 1
         seat = Seat(self._next, address, prefix, known, now)
         self.seats[seat.number] = seat
@@ -214,14 +215,19 @@
         """Seats to be closed now since a limit was lowered or the ladder asks for it; the rest next time."""
         shed: list[Seat] = []
         over = len(self.seats) - self.limits.connections
-        if self.ladder.step >= Step.SCARCE:
-            over = max(over, 1)
-        for seat in self._victims(False, now):
+        for seat in self._victims(False, now) if over > 0 else ():
             if len(shed) >= min(over, SHED_A_TURN):
                 break
             shed.append(seat)
         for seat in shed:
             self._give_up(seat, Reason.LOWERED)
+        if self.limits.ladder and self.ladder.step >= Step.PRESSED:
+            pressed = list(self._stale(now))
+            if self.ladder.step >= Step.SCARCE:
+                pressed += [seat for seat in self._idle.values() if not seat.known]
+            for seat in pressed[:SHED_A_TURN]:
+                self._give_up(seat, Reason.LADDER)
+                shed.append(seat)
         return shed
 
     # Decisions
@@ -237,6 +243,9 @@
     def _against(self, address: str, prefix: str, known: bool, now: float) -> Reason | None:
         """Why this address may not connect now, whatever room there is."""
         limits, behind = self.limits, self._behind(address)
+        if limits.ladder and ((self.ladder.step >= Step.SCARCE and not known) or (
+                self.ladder.step >= Step.EXHAUSTED and not within(address, limits.known))):
+            return Reason.LADDER
         if not known and self.offenders.turned_away(address, now):
             return Reason.OFFENDER
         if limits.by_address and self.by_address[address] >= limits.by_address * behind:
@@ -244,8 +253,6 @@
         if not known:
             if limits.by_prefix and self.by_prefix[prefix] >= limits.by_prefix * behind:
                 return Reason.PREFIX
-            if limits.unidentified and self.unidentified >= limits.unidentified:
-                return Reason.UNIDENTIFIED
             if not self.address_rates.take(address, now, behind):
                 return Reason.RATE_ADDRESS
             if not self.prefix_rates.take(prefix, now, behind):
@@ -253,18 +260,33 @@
         return None
 
     def _make_room(self, known: bool, now: float, shed: list[Seat]) -> Reason | None:
-        """Finds a seat, others' if need be; strangers never in the reserve."""
-        limits = self.limits
+        """Finds a seat, others' if need be; strangers never in the reserve. Nobody goes where it is not
+        enough."""
+        limits, planned = self.limits, list[Seat]()
+        seats, strangers, unidentified = len(self.seats), self.strangers, self.unidentified
+        if not known and seats > limits.connections:
+            return Reason.FULL  # a lowered limit sheds by itself, a few at a time
+        if not known and limits.unidentified and unidentified >= limits.unidentified:
+            # Guards the handshakes against half-open ones: the longest silent one makes room.
+            stale = next(self._stale(now), None)
+            if stale is None or unidentified > limits.unidentified:
+                return Reason.UNIDENTIFIED
+            planned.append(stale)
         most = limits.connections if known else limits.connections - limits.reserve
-        while len(self.seats) >= limits.connections or (not known and self.strangers >= most) \
-                or not self.descriptors.room(Owner.CLIENTS):
-            victim = next(self._victims(known, now), None)
+        seats, strangers = seats - len(planned), strangers - len(planned)
+        victims = (seat for seat in self._victims(known, now) if seat not in planned)
+        while seats >= limits.connections or (not known and strangers >= most) \
+                or not self.descriptors.room(Owner.CLIENTS, len(planned)):
+            victim = next(victims, None)
             if victim is None:
-                if len(self.seats) < limits.connections and self.descriptors.room(Owner.CLIENTS):
-                    return Reason.RESERVE
-                return Reason.DESCRIPTORS if not self.descriptors.room(Owner.CLIENTS) else Reason.FULL
+                if not self.descriptors.room(Owner.CLIENTS, len(planned)):
+                    return Reason.DESCRIPTORS
+                return Reason.FULL if seats >= limits.connections else Reason.RESERVE
+            planned.append(victim)
+            seats, strangers = seats - 1, strangers - (not victim.known)
+        for victim in planned:
             self._give_up(victim, Reason.MADE_ROOM)
-            shed.append(victim)
+        shed += planned
         return None
 
     def _victims(self, for_known: bool, now: float) -> Iterator[Seat]:
@@ -278,22 +300,23 @@
                     named.add(seat.number)
                     yield seat
 
-        yield from fresh(seat for seat in list(self._first(self._silent, lambda seat: not seat.known
-                                                           and now - seat.since > GRACE_MS)))
+        yield from fresh(self._stale(now))
         if self._most > FAIR:
             address = next(iter(self._ranks[self._most]))
-            seats = [seat for seat in self._of[address].values() if not seat.known]
-            yield from fresh(iter(sorted(seats, key=lambda seat: seat.identified)))
-        yield from fresh(seat for seat in list(self._silent.values()) if not seat.known)
-        yield from fresh(seat for seat in list(self._idle.values()) if not seat.known)
+            for said in (False, True):
+                yield from fresh(seat for seat in self._of[address].values()
+                                 if not seat.known and seat.identified is said)
+        yield from fresh(seat for seat in self._silent.values() if not seat.known)
+        yield from fresh(seat for seat in self._idle.values() if not seat.known)
         if for_known or not self.limits.reserve:
-            yield from fresh(iter([*self._silent.values(), *self._idle.values()]))
-
-    @staticmethod
-    def _first(seats: OrderedDict[int, Seat], wanted: object) -> Iterator[Seat]:
-        assert callable(wanted)
-        for seat in seats.values():
-            if wanted(seat):
+            yield from fresh(itertools.chain(self._silent.values(), self._idle.values()))
+
+    def _stale(self, now: float) -> Iterator[Seat]:
+        """Strangers silent past their grace, the longest first."""
+        for seat in self._silent.values():
+            if now - seat.since <= GRACE_MS:
+                return
+            if not seat.known:
                 yield seat
 
     def _give_up(self, seat: Seat, reason: Reason) -> None:
--- a/frostport/admission/ladder.py
+++ b/frostport/admission/ladder.py
@@ -15,9 +15,9 @@
     """What each step refuses or sheds, beyond the one before."""
 
     OPEN = 0  # nothing
-    PRESSED = 1  # strangers who have said nothing for a while are shed when another comes
-    SCARCE = 2  # new strangers are refused; idle ones are shed
-    EXHAUSTED = 3  # all new connections are refused but known clients'
+    PRESSED = 1  # strangers who have said nothing for a while are shed
+    SCARCE = 2  # new strangers are refused; idle ones are shed, a few at a time
+    EXHAUSTED = 3  # only configured clients are let in; trust that was earned does not reach so far
 
 
 MARKS = {Step.PRESSED: 0.75, Step.SCARCE: 0.90, Step.EXHAUSTED: 0.98}
--- a/frostport/admission/ledger.py
+++ b/frostport/admission/ledger.py
@@ -39,14 +39,15 @@
     def total(self) -> int:
         return self.open.total()
 
-    def room(self, owner: Owner) -> bool:
-        """Whether one more is to be had: for clients only outside what is kept for all others.
+    def room(self, owner: Owner, fewer: int = 0) -> bool:
+        """Whether one more is to be had, with so many given back: for clients outside what is kept for
+        others.
 
         Guards a call that was taken: it can always be sent on, and the event bus always be reached."""
         if owner is not Owner.CLIENTS:
-            return self.total() < self.limit
+            return self.total() - fewer < self.limit
         others = self.total() - self.open[Owner.CLIENTS]
-        return self.open[Owner.CLIENTS] < self.limit - max(self.kept, others)
+        return self.open[Owner.CLIENTS] - fewer < self.limit - max(self.kept, others)
 
     def share(self) -> float:
         """How much of what clients may have they have."""
--- a/frostport/admission/settings.py
+++ b/frostport/admission/settings.py
@@ -39,4 +39,5 @@
     back_off_most_ms: float = 60_000.0
     buffered_bytes: int = 0  # waiting to be read by all clients together
     buffered_connection_bytes: int = 0
+    ladder: bool = False  # whether its steps refuse and shed; where not, idle ones make room
     remembered: int = 4096  # addresses, prefixes and offenders kept at most, each
--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -17,6 +17,8 @@
 from twisted.python.log import PythonLoggingObserver
 
 from frostport import config as configuration
+from frostport.admission.gate import Gate
+from frostport.admission.ledger import Descriptors
 from frostport.config import Config, ConfigError
 from frostport.core import contracts
 from frostport.core.broker import Broker
@@ -44,8 +46,8 @@
 CLOSING_MS = 900.0  # after SIGTERM: connections come for 0.4 s at most, requests for 0.2 s more
 LAST_ANSWER_MS = 3500.0  # after SIGTERM: what is open then is answered, SIGKILL comes from 3.7 s on
 FLUSH_MS = 50.0  # for the last answers to leave
-OWN_SOCKETS = 64  # descriptors kept for servers, the event bus, peers and the program itself
-LIVE = ("bus", "sockets", "contracts")  # what a reload changes in the running program
+SURPLUS_MS = 100.0  # between two lots of connections that a lowered limit sheds
+LIVE = ("bus", "sockets", "contracts", "admission")  # what a reload changes in the running program
 PAST = ("seed", "known", "offset")  # what only the start needs
 NEVER_S = 3600.0  # the endpoint's own timeout; the real one is a deadline
 
@@ -78,7 +80,7 @@
 
     def __init__(self, agent: Agent) -> None:
         self.agent, config = agent, agent.config
-        self.front = PlatformFront(agent.broker, agent.lifecycle, most_clients(config))
+        self.front = PlatformFront(agent.broker, agent.lifecycle, agent.gate)
         self.servers = LobbyServers(agent.broker, self.front, agent.connect,
                                     config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS)
         agent.broker.route = self.servers
@@ -100,7 +102,6 @@
 
     def reload(self, config: Config) -> None:
         self.bus.move(config.bus)
-        self.front.connections.limit = most_clients(config)
 
     def resume(self, restored: Restored) -> None:
         """Goes on with what was on record: the list, and releases owed to clients."""
@@ -132,7 +133,7 @@
         chance = random.Random(config.seed)
         numbers = {server.host: server.number for server in wanted.servers}
         self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
-                                   wanted.watchdog_ms, chance, most_clients(config))
+                                   wanted.watchdog_ms, chance, agent.gate)
         self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
                                    wanted.sessions_lost_ms, chance, agent.connect)
         agent.broker.route = self.route
@@ -144,7 +145,7 @@
         self.route.start()
 
     def reload(self, config: Config) -> None:
-        self.front.callers.limit = most_clients(config)
+        """Nothing of its own changes live."""
 
     def resume(self, restored: Restored) -> None:
         """Goes on with what was on record: this node's state id, peers, sessions, releases owed."""
@@ -170,21 +171,16 @@
         self.route.disconnect()
 
 
-def most_clients(config: Config) -> int:
-    """How many client connections are held: enough descriptors are left for servers and the event bus."""
-    return max(config.sockets // 2, config.sockets - OWN_SOCKETS)
-
-
 class Accept(Factory):
     """Hands each accepted connection to a front."""
 
     noisy = False
 
-    def __init__(self, build: Callable[[], Protocol | None]) -> None:
+    def __init__(self, build: Callable[[str], Protocol | None]) -> None:
         self.build = build
 
     def buildProtocol(self, addr: IAddress | None) -> Protocol | None:  # noqa: N802 (Twisted's name)
-        return self.build()
+        return self.build(str(getattr(addr, "host", "")))
 
 
 class Agent:
@@ -200,6 +196,8 @@
         self.rules = Rules(given, config.drain_grace_ms)
         self.broker = Broker(Controller(given, config.seed), self.rules, self.clock, self.deadlines,
                              PROBE_TIMEOUT_MS, contracts.Budgets(config.contracts))
+        self.gate = Gate(config.admission, Descriptors(config.sockets, config.sockets
+                                                       - config.admission.connections))
         self.pump = Pump(reactor, self.clock, self.deadlines)
         self.durability = durability
         if durability is not None:
@@ -207,6 +205,7 @@
         self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
         self.listener: Any = None
         self._end: Deadline | None = None
+        self._sweeping: Deadline | None = None
         self.lifecycle.listen(self.entered)
 
     def connect(self, dial: str, protocol: Protocol) -> defer.Deferred[object]:
@@ -222,10 +221,20 @@
         host, port = split(self.config.listen)
         self.listener = self.reactor.listenTCP(port, self.side.factory(), backlog=512, interface=host)
         self.side.start()
+        if self.config.admission.ladder:
+            self._sweep()
         if self.durability is not None:
             self.durability.started(self)
         self.lifecycle.enter(Phase.SERVING)
 
+    def _sweep(self) -> None:
+        """Sheds what a lowered limit or the ladder asks for, a few at a time."""
+        self._sweeping = None
+        shed = self.gate.surplus(self.clock.now())
+        self.side.front.shed(shed)
+        if self.lifecycle.phase is not Phase.STOPPED and (shed or self.config.admission.ladder):
+            self._sweeping = self.deadlines.set(self.clock.now() + SURPLUS_MS, self._sweep)
+
     def reload(self) -> None:
         """SIGHUP: reads the whole file again. All of it is valid and in force at once, or nothing changes."""
         if self.lifecycle.phase is not Phase.SERVING or self.path is None:
@@ -250,7 +259,12 @@
             old, **{name: getattr(new, name) for name in LIVE if name not in fixed})
         if "contracts" not in fixed:
             self.broker.budgets.replace(new.contracts)
+        self.gate.descriptors.limit = self.config.sockets
+        self.gate.descriptors.kept = self.config.sockets - self.config.admission.connections
+        self.gate.reload(self.config.admission, self.clock.now())
         self.side.reload(self.config)
+        if self._sweeping is None:
+            self._sweep()
         log.info("reload: done; changed: %s", ", ".join(set(changed) - set(fixed)) or "nothing")
 
     def terminate(self) -> None:
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -15,6 +15,7 @@
 
 from frostport import interface as api
 from frostport import settings
+from frostport.admission.settings import Limits, Network, Shared
 from frostport.core import contracts
 from frostport.core.contracts import Contract, ContractError
 from frostport.diameter.settings import DiameterConfig, DiameterServer
@@ -46,6 +47,7 @@
     diameter: DiameterConfig | None = None
     contracts: tuple[Contract, ...] = ()
     store: StoreConfig | None = None
+    admission: Limits = dataclasses.field(default_factory=lambda: Limits(most_clients(1024)))
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,7 +154,76 @@
         peers=[check_address(f"peers.{index}", peer) for index, peer in enumerate(peers)],
         diameter=read_diameter(record, given) if "diameter" in record else None,
         contracts=all_contracts(record, folder),
-        store=read_store(record, folder) if "store" in record else None)
+        store=read_store(record, folder) if "store" in record else None,
+        admission=read_admission(record, sockets))
+
+
+OWN_SOCKETS = 64  # descriptors kept for servers, the event bus, peers and the program itself
+
+
+def most_clients(sockets: int) -> int:
+    """How many client connections are held: enough descriptors are left for servers and the event bus."""
+    return max(sockets // 2, sockets - OWN_SOCKETS)
+
+
+COUNTS = ("by_address", "by_prefix", "unidentified", "by_team", "reserve", "buffered_bytes",
+          "buffered_connection_bytes")
+RATES = ("address_a_second", "address_burst", "prefix_a_second", "prefix_burst")
+TIMES = ("earned_ms", "back_off_ms", "back_off_most_ms")
+PREFIXES = {"ipv4_prefix": 32, "ipv6_prefix": 128}
+
+
+def read_admission(record: Mapping[str, Any], sockets: int) -> Limits:
+    at = "admission."
+    section = field(record, "admission", dict, {})
+    known = {*COUNTS, *RATES, *TIMES, *PREFIXES, "known", "shared", "ladder", "remembered"}
+    for entry in section:
+        if entry not in known:
+            raise ConfigError(f"{at}{entry}: unknown field")
+    chosen: dict[str, Any] = {"connections": most_clients(sockets)}
+    for entry in section:
+        if entry in COUNTS:
+            chosen[entry] = field(section, entry, int, 0, at)
+            if chosen[entry] < 0:
+                raise ConfigError(f"{at}{entry}: below 0")
+        elif entry in RATES or entry in TIMES:
+            value = section[entry]
+            if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+                raise ConfigError(f"{at}{entry}: not a number from 0 on")
+            chosen[entry] = float(value)
+        elif entry in PREFIXES:
+            chosen[entry] = field(section, entry, int, 0, at)
+            if not 1 <= chosen[entry] <= PREFIXES[entry]:
+                raise ConfigError(f"{at}{entry}: not 1 to {PREFIXES[entry]}")
+    if "ladder" in section:
+        chosen["ladder"] = field(section, "ladder", bool, False, at)
+    if "remembered" in section:
+        chosen["remembered"] = field(section, "remembered", int, 0, at)
+        if not 16 <= chosen["remembered"] <= 10_000_000:
+            raise ConfigError(f"{at}remembered: not 16 to 10000000")
+    chosen["known"] = tuple(network(f"{at}known.{index}", entry)
+                            for index, entry in enumerate(field(section, "known", list, [], at)))
+    chosen["shared"] = tuple(read_shared(f"{at}shared.{index}", entry)
+                             for index, entry in enumerate(field(section, "shared", list, [], at)))
+    if chosen.get("reserve", 0) >= chosen["connections"]:
+        raise ConfigError(f"{at}reserve: leaves nothing of {chosen['connections']} connections to strangers")
+    return Limits(**chosen)
+
+
+def network(place: str, value: object) -> Network:
+    try:
+        return ipaddress.ip_network(str(value) if isinstance(value, str) else "", strict=True)
+    except ValueError as problem:
+        raise ConfigError(f"{place}: no address and no network: {problem}") from None
+
+
+def read_shared(place: str, entry: object) -> Shared:
+    if not isinstance(entry, dict) or set(entry) != {"network", "clients"}:
+        raise ConfigError(f"{place}: not an object of network and clients")
+    clients = field(entry, "clients", int, 0, f"{place}.")
+    if clients < 1:
+        raise ConfigError(f"{place}.clients: under 1")
+    return Shared(network(f"{place}.network", entry["network"]), clients)
 
 
 STORE_CHOICES = {"durability": ("always", "interval", "none"), "on_failure": ("refuse", "serve")}
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -5,17 +5,18 @@
 import logging
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from frostport import interface as api
+from frostport.admission.gate import Gate, Seat
 from frostport.core.broker import Broker
 from frostport.core.calls import Body, Request, State
 from frostport.core.lifecycle import Lifecycle
 from frostport.core.slots import Slots
 from frostport.diameter import avp
 from frostport.diameter.avp import Avp, Message, make
-from frostport.diameter.peer import Identity, Link, Node, Peer, PeerConnection
+from frostport.diameter.peer import Identity, Node, Peer, PeerConnection
 from frostport.interface import Outcome
 
 log = logging.getLogger("frostport.diameter.front")
@@ -56,32 +57,44 @@
 
     def __init__(self, broker: Broker, lifecycle: Lifecycle, identity: Identity, clients: list[str],
                  numbers: dict[str, int], interval_ms: float, chance: random.Random,
-                 connection_limit: int | None = None) -> None:
+                 gate: Gate) -> None:
         super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
-        self.broker, self.lifecycle, self.numbers = broker, lifecycle, numbers
+        self.broker, self.lifecycle, self.numbers, self.gate = broker, lifecycle, numbers, gate
+        self.by_seat: dict[int, PeerConnection] = {}
         self.sessions: dict[str, Session] = {}
         self.owed: dict[str, tuple[str, Outcome]] = {}  # releases not yet answered: client ("": any), outcome
         self.aborts: dict[int, str] = {}  # hop-by-hop ids of releases on their way
         self.sequence = int(broker.clock.now())
-        self.callers: Slots[PeerConnection] = Slots(connection_limit)
+        self.callers: Slots[PeerConnection] = Slots()
         for host in clients:
             self.add(Peer(host))
 
-    def build(self) -> PeerConnection | None:
-        """A protocol for a new connection; where the table is full, the oldest stranger makes room for it."""
-        while self.callers.full():
-            strangers = [link for link in self.callers if link.state is not Link.OPEN]
-            if not strangers:
-                return None
-            min(strangers, key=lambda link: link.since).drop()
+    def build(self, address: str) -> PeerConnection | None:
+        """A protocol for a new connection that the gate admits; those who make room for it are closed."""
+        verdict = self.gate.arrive(address, self.clock.now())
+        self.shed(verdict.shed)
+        if verdict.seat is None:
+            return None
         link = self.connection()
-        link.caller = self.callers.add(link)
+        link.caller, link.seat = self.callers.add(link), verdict.seat
+        self.by_seat[verdict.seat.number] = link
         return link
 
+    def shed(self, seats: Iterable[Seat]) -> None:
+        """Closes connections that the gate has given up."""
+        for seat in seats:
+            link = self.by_seat.get(seat.number)
+            if link is not None:
+                link.drop()
+
     def closed(self, link: PeerConnection) -> None:
         if link.caller >= 0:
             self.callers.free(link.caller)
             link.caller = -1
+        if link.seat is not None:
+            del self.by_seat[link.seat.number]
+            self.gate.gone(link.seat)
+            link.seat = None
         super().closed(link)
 
     # From clients
@@ -189,6 +202,14 @@
 
     def opened(self, link: PeerConnection) -> None:
         super().opened(link)
+        if link.seat is not None and self.by_seat.get(link.seat.number) is link:
+            # A configured peer is a known client, and its connection carries what it is owed: it stays.
+            self.gate.earns(link.seat, self.clock.now())
+            over = self.gate.identified(link.seat, link.realm)
+            self.gate.took(link.seat)
+            if over is not None:
+                link.disconnect(avp.BUSY)
+                return
         for call, (client, outcome) in list(self.owed.items()):
             if client in ("", link.host):
                 self._abort(call, client, outcome)
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -15,6 +15,7 @@
 from twisted.internet import interfaces, protocol
 from twisted.python.failure import Failure
 
+from frostport.admission.gate import Seat
 from frostport.core.clock import Clock
 from frostport.core.complaints import Complaints
 from frostport.core.deadlines import Deadline, Deadlines
@@ -114,6 +115,7 @@
         self.host, self.realm = called or "?", ""
         self.state_id: int | None = None
         self.slot = self.caller = -1
+        self.seat: Seat | None = None  # where the peer calls
         self.since = clock.now()
         self._frames = Frames()
         self._waiting: deque[bytes] = deque()  # messages read and not yet handled
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from frostport import interface as api
+from frostport.admission.gate import Gate, Seat
 from frostport.core.broker import Broker
 from frostport.core.calls import Body, Request, State
 from frostport.core.deadlines import Deadline
@@ -52,9 +53,10 @@
 class ClientConnection(LineConnection):
     """One connection of clients; it carries many calls and owns none that stands."""
 
-    def __init__(self, front: PlatformFront) -> None:
+    def __init__(self, front: PlatformFront, seat: Seat) -> None:
         super().__init__(front.broker.clock, front.broker.deadlines)
-        self.front = front
+        self.front, self.seat = front, seat
+        self.held = False  # its seat is known to be in use
         self.slot = -1
         self.host = ""
         self.open: dict[str, Request] = {}
@@ -62,12 +64,14 @@
         self.spoke = False  # a well-formed message has come
         self.known = False  # a call has stood here, or a release was heard: a usual client's
         self.strikes = 0
+        self.owing: set[str] = set()  # releases said here and not confirmed
         self._limit: Deadline | None = None
 
     def opened(self) -> None:
         self.slot = self.front.connections.add(self)
         self.peer = f"client connection {self.slot}"
         self.host = str(getattr(self.transport.getPeer(), "host", ""))
+        self.front.by_seat[self.seat.number] = self
         self.heard_at = self.clock.now()
         self.transport.registerProducer(self, True)
         # Guards against connections that come by hundreds and say nothing, or half a line.
@@ -114,7 +118,10 @@
         self.heard_at = self.clock.now()
         if not self.spoke:
             self.spoke = True
+            self.front.gate.identified(self.seat)
             self.front.flush()
+        else:
+            self.front.gate.heard(self.seat)
         match message.verb:
             case "START":
                 try:
@@ -134,12 +141,20 @@
 
     def malformed(self, problem: BadLineError) -> None:
         self.strikes += 1
+        self.front.offended(self)
         named = problem.is_start and problem.tag is not None
         if named and self.front.broker.find(problem.tag or "") is None:
             self.say(Message("FINISH", problem.tag or "", rc=jsonl.OVERLOADED))
         if not named or self.lines.ended or self.strikes >= STRIKES:
             self.hang_up()
 
+    def settle(self) -> None:
+        """Tells the gate whether the seat is in use: by an open set-up, or something owed."""
+        used = bool(self.open or self.owing)
+        if used is not self.held:
+            self.held = used
+            (self.front.gate.took if used else self.front.gate.done)(self.seat)
+
     def usable(self) -> bool:
         """Whether a release may be told here."""
         return self.alive and self.spoke and not self.stuck
@@ -176,9 +191,10 @@
 class PlatformFront:
     """Reads set-ups and releases from clients, and writes answers, refusals and releases to them."""
 
-    def __init__(self, broker: Broker, lifecycle: Lifecycle, connection_limit: int | None = None) -> None:
-        self.broker, self.lifecycle = broker, lifecycle
-        self.connections: Slots[ClientConnection] = Slots(connection_limit)
+    def __init__(self, broker: Broker, lifecycle: Lifecycle, gate: Gate) -> None:
+        self.broker, self.lifecycle, self.gate = broker, lifecycle, gate
+        self.connections: Slots[ClientConnection] = Slots()
+        self.by_seat: dict[int, ClientConnection] = {}
         self.owed: dict[str, Owed] = {}
         self._sweep: Deadline | None = None
         settings = broker.rules.settings
@@ -187,17 +203,25 @@
     def serving(self) -> bool:
         return self.lifecycle.phase.value == "serving"
 
-    def build(self) -> ClientConnection | None:
-        """A protocol for a new connection; where the table is full, an idle one makes room for it."""
-        while self.connections.full():  # a reload may have lowered the limit by more than one
-            # Guards the usual clients, who come anew all the time, against those who only hold connections.
-            idle = [at for at in self.connections if not at.open and at.alive]
-            if not idle:
-                return None
-            last = min(idle, key=lambda at: (at.spoke, at.heard_at))
-            last.drop()
-            self.lost(last)
-        return ClientConnection(self)
+    def build(self, address: str) -> ClientConnection | None:
+        """A protocol for a new connection that the gate admits; those who make room for it are closed."""
+        verdict = self.gate.arrive(address, self.broker.clock.now())
+        self.shed(verdict.shed)
+        return None if verdict.seat is None else ClientConnection(self, verdict.seat)
+
+    def shed(self, seats: Iterable[Seat]) -> None:
+        """Closes connections that the gate has given up."""
+        for seat in seats:
+            connection = self.by_seat.get(seat.number)
+            if connection is not None:
+                connection.drop()
+                self.lost(connection)
+
+    def offended(self, connection: ClientConnection) -> None:
+        now = self.broker.clock.now()
+        if self.gate.is_known(connection.host, now):
+            connection.complaints.say(now, connection.peer, f"a known client's, {connection.host}")
+        self.gate.offends(connection.host, now)
 
     # From clients
 
@@ -222,9 +246,14 @@
             connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             return
         team = opts.get("tenant", "-")
+        if self.gate.limits.by_team and self.gate.identified(connection.seat, team) is not None:
+            connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
+            connection.hang_up()
+            return
         request = Request(tag, name, key, message.blob, broker.clock.now() + left, self, connection.slot,
                           team, client=connection.host)
         connection.open[tag] = request
+        connection.settle()
         broker.arrive(request, api.CallArrived(
             tag, name, team, left, figures.get("dest", -1), int(key, 16) if key else 0,
             redial=opts.get("retry", "0") not in ("", "0"), cut_before=bool(figures.get("again", 0))))
@@ -259,6 +288,7 @@
         if request is None:
             # Also where a give-up crosses our final answer: there the broker knows the id, and does nothing.
             connection.open.pop(message.tag, None)
+            connection.settle()
             self._settle(message.tag)
             self.broker.release_unknown(message.tag)
         else:
@@ -275,8 +305,10 @@
 
     def _settle(self, tag: str) -> bool:
         """A release is no longer owed, if it was."""
-        if self.owed.pop(tag, None) is None:
+        owed = self.owed.pop(tag, None)
+        if owed is None:
             return False
+        self._at(tag, owed, -1)
         self.broker.recorder.settled(tag)
         return True
 
@@ -285,15 +317,17 @@
         if self.connections.get(connection.slot) is not connection:
             return  # it made room for another already
         self.connections.free(connection.slot)
+        del self.by_seat[connection.seat.number]
+        self.gate.gone(connection.seat)
         opened, connection.open = list(connection.open.values()), {}
         for request in opened:
             if request.state is State.OPEN:
                 self.broker.gone(request)
             else:
                 self.broker.release(request)  # its answer waits for its record, and has nobody to go to
-        for owed in self.owed.values():
-            if owed.slot == connection.slot:
-                owed.slot = -1
+        for tag in connection.owing:
+            self.owed[tag].slot = -1
+        connection.owing.clear()
         self.flush()
 
     # From the broker
@@ -307,12 +341,15 @@
         if connection is None or connection.open.get(request.id) is not request:
             return None
         del connection.open[request.id]
+        connection.settle()
         return connection
 
     def _say(self, request: Request, message: Message) -> None:
         connection = self._answered(request)
         if connection is not None:
-            connection.known = connection.known or message.verb == "STARTED"
+            if message.verb == "STARTED":
+                connection.known = True
+                self.gate.earns(connection.seat, self.broker.clock.now())
             connection.say(message)
 
     def stands(self, request: Request, description: Body) -> None:
@@ -328,7 +365,7 @@
     def over(self, call: str, place: int, outcome: Outcome) -> None:
         connection = self.connections.get(place)
         host = connection.host if connection is not None else ""
-        self.owed[call] = Owed(CAUSES.get(outcome, jsonl.BROKEN), self.broker.clock.now(), place, host)
+        self.owed[call] = Owed(CAUSES.get(outcome, jsonl.BROKEN), self.broker.clock.now(), -1, host)
         self._tell(call, connection if connection is not None and connection.usable() else None)
         self._watch()
 
@@ -343,9 +380,20 @@
         """Says a release on a connection, else on the best one there is."""
         owed, now = self.owed[call], self.broker.clock.now()
         chosen = connection or self.best(owed)
-        owed.slot, owed.said_at = -1, now
-        if chosen is not None and chosen.say(Message("FINISH", call, rc=owed.cause)):
-            owed.slot = chosen.slot
+        owed.said_at = now
+        said = chosen is not None and chosen.say(Message("FINISH", call, rc=owed.cause))
+        self._at(call, owed, chosen.slot if said and chosen is not None else -1)
+
+    def _at(self, call: str, owed: Owed, slot: int) -> None:
+        """A release is owed on another connection from now on, or on none."""
+        before, owed.slot = self.connections.get(owed.slot), slot
+        if before is not None:
+            before.owing.discard(call)
+            before.settle()
+        after = self.connections.get(slot)
+        if after is not None:
+            after.owing.add(call)
+            after.settle()
 
     def best(self, owed: Owed) -> ClientConnection | None:
         """A usual client's connection, of the call's own client if it has one, and not the last one tried.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -657,7 +657,7 @@
         wire.protocol.makeConnection(wire)
         world.wait(1.0)
     front = agent.side.front
-    assert isinstance(front, PlatformFront) and len(front.connections) == front.connections.limit
+    assert isinstance(front, PlatformFront) and len(front.connections) == agent.gate.limits.connections
     for line in ("send c2 ECHO 1 rc=0", "expect c2 ECHOED 1", "send s0 STARTED a blob=x",
                  "expect c1 STARTED a"):
         world.step(line)
