Count descriptors of dials, use the process's limit, schema of admission; a flood test

The gate's ledger knew clients alone, and nothing noticed a process with fewer descriptors than configured.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -3,22 +3,28 @@
 from __future__ import annotations
 
 import dataclasses
+import errno
 import logging
+import os
 import pathlib
 import random
+import resource
 import signal
+import typing
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+import orjson
 from twisted.internet import defer
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 from twisted.python.log import PythonLoggingObserver
 
 from frostport import config as configuration
 from frostport.admission.gate import Gate
-from frostport.admission.ledger import Descriptors
+from frostport.admission.ledger import Descriptors, Owner
 from frostport.config import Config, ConfigError
 from frostport.core import contracts
 from frostport.core.broker import Broker
@@ -30,7 +36,7 @@
 from frostport.diameter.front import DiameterFront
 from frostport.diameter.peer import Identity
 from frostport.diameter.route import DiameterRoute
-from frostport.net.bus import EventBus, ServerList
+from frostport.net.bus import BusConnection, EventBus, ServerList
 from frostport.net.front import PlatformFront
 from frostport.net.lobby import LobbyServers
 from frostport.net.peers import Peers, split
@@ -96,6 +102,7 @@
             peers = Peers(agent.broker, config.peers)
             host, port = split(config.peer_listen)
             agent.reactor.listenUDP(port, peers, interface=host)
+            agent.gate.descriptors.take(Owner.PEERS)
             agent.broker.tell = peers.tell
         self.list.known(config.known, config.offset)
         self.bus.start()
@@ -171,6 +178,24 @@
         self.route.disconnect()
 
 
+def nothing() -> None:
+    """What a connection that holds no descriptor gives back."""
+
+
+class Dialed(typing.Protocol):
+    """A connection that this program opens: `released` is called once it is lost."""
+
+    released: Callable[[], None]
+
+
+def own_descriptors() -> int:
+    """How many descriptors the program itself has open, before it opens anything for others."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # less the one that lists them
+    except OSError:
+        return 0
+
+
 class Accept(Factory):
     """Hands each accepted connection to a front."""
 
@@ -203,15 +228,36 @@
         if durability is not None:
             durability.join(self)
         self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
+        self.own_descriptors: Callable[[], int] = lambda: 0  # of the process, before it serves anyone
         self.listener: Any = None
         self._end: Deadline | None = None
         self._sweeping: Deadline | None = None
         self.lifecycle.listen(self.entered)
 
-    def connect(self, dial: str, protocol: Protocol) -> defer.Deferred[object]:
+    def connect(self, dial: str, protocol: Dialed) -> defer.Deferred[object]:
+        """Dials, where a descriptor is to be had: it counts until the connection is lost, or was not to be
+        had."""
         host, port = split(dial)
+        owner = Owner.BUS if isinstance(protocol, BusConnection) else Owner.SERVERS
+        descriptors = self.gate.descriptors
+        if not descriptors.room(owner):
+            descriptors.refused[owner] += 1
+            return defer.fail(OSError(errno.EMFILE, "no descriptor left"))
+        descriptors.take(owner)
+
+        def released() -> None:
+            protocol.released = nothing
+            descriptors.give(owner)
+
+        def failed(failure: Failure) -> Failure:
+            protocol.released()
+            return failure
+
+        protocol.released = released
+        made: Any = protocol
         endpoint: Any = TCP4ClientEndpoint(self.reactor, host, port, timeout=NEVER_S)
-        dialing: defer.Deferred[object] = endpoint.connect(Factory.forProtocol(lambda: protocol))
+        dialing: defer.Deferred[object] = endpoint.connect(Factory.forProtocol(lambda: made))
+        dialing.addErrback(failed)
         return dialing
 
     def start(self) -> None:
@@ -220,6 +266,9 @@
             self.durability.resume(self)
         host, port = split(self.config.listen)
         self.listener = self.reactor.listenTCP(port, self.side.factory(), backlog=512, interface=host)
+        # With the listener, and the spare one that Twisted gives up for a moment where accept finds none
+        # left.
+        self.gate.descriptors.take(Owner.OWN, self.own_descriptors())
         self.side.start()
         if self.config.admission.ladder:
             self._sweep()
@@ -241,7 +290,7 @@
             log.info("reload: not while %s", self.lifecycle.phase.value)
             return
         try:
-            new = configuration.load(self.path)
+            new = within_the_process(configuration.load(self.path))
         except ConfigError as problem:
             log.error("reload: configuration kept: %s", problem)
             return
@@ -276,6 +325,7 @@
         now = self.clock.now()
         match phase:
             case Phase.CLOSING:
+                log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
                 self.deadlines.set(now + CLOSING_MS, lambda: self.lifecycle.enter(Phase.DRAINING))
                 self._end = self.deadlines.set(now + LAST_ANSWER_MS, self.broker.fail_all)
             case Phase.DRAINING:
@@ -305,6 +355,17 @@
     return {contract.service: (contract.aim_ms, contract.deadline_ms) for contract in config.contracts}
 
 
+def within_the_process(config: Config) -> Config:
+    """The configuration with no more descriptors than the process may have."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= config.sockets:
+        return config
+    log.warning("limits.sockets: %d, but the process may have only %d: these count", config.sockets, soft)
+    connections = configuration.most_clients(soft)
+    return dataclasses.replace(config, sockets=soft, admission=dataclasses.replace(
+        config.admission, connections=connections, reserve=min(config.admission.reserve, connections - 1)))
+
+
 def report_faults() -> None:
     """What Twisted catches, a fault in a callback say, goes to the same log."""
     observer: Any = PythonLoggingObserver
@@ -321,8 +382,8 @@
         from frostport import durability as part
 
         durability = part.Durability.open(config.store)
-    agent = Agent(config, reactor, durability=durability)
-    agent.path = path
+    agent = Agent(within_the_process(config), reactor, durability=durability)
+    agent.path, agent.own_descriptors = path, own_descriptors
 
     def on_term(signum: int, frame: object) -> None:
         reactor.callFromThread(agent.terminate)
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -116,6 +116,7 @@
         self.state_id: int | None = None
         self.slot = self.caller = -1
         self.seat: Seat | None = None  # where the peer calls
+        self.released: Callable[[], None] = lambda: None  # its descriptor is free again
         self.since = clock.now()
         self._frames = Frames()
         self._waiting: deque[bytes] = deque()  # messages read and not yet handled
@@ -187,6 +188,7 @@
         pass
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
+        self.released()
         self._end()
 
     def _end(self) -> None:
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -5,6 +5,7 @@
 import logging
 import re
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -148,6 +149,7 @@
         self.clock, self.deadlines = clock, deadlines
         self.lines = Lines(longest)
         self.alive = False
+        self.released: Callable[[], None] = lambda: None  # its descriptor is free again
         self.stuck = False  # what is written waits for the other side to read: nothing more is read from it
         self.turns = 0  # how often something was read: lines of one turn were written before they were read
         self._waiting: deque[tuple[bytes, bool]] = deque()
@@ -208,6 +210,7 @@
         self._work(len(self._waiting))  # a release that was read before the connection closed still counts
         self.alive = False
         self._waiting.clear()
+        self.released()
         self.closed()
 
     def say(self, message: Message) -> bool:
--- a/standins/lobby.py
+++ b/standins/lobby.py
@@ -122,7 +122,10 @@
     others."""
 
     def __init__(self, name: int, books: Books, chance: random.Random, port: Callable[[], int],
-                 gap_ms: float = 10.0, hold_ms: float = 100.0, repeat: float = 0.5) -> None:
+                 gap_ms: float = 10.0, hold_ms: float = 100.0, repeat: float = 0.5,
+                 address: str = "127.0.0.1") -> None:
+        self.address = address  # that it connects from
+        self.connects = 0
         self.name, self.books, self.chance, self.port = name, books, chance, port
         self.gap_ms, self.hold_ms, self.repeat = gap_ms, hold_ms, repeat
         self.count = 0
@@ -137,7 +140,9 @@
         """Until cancelled."""
         while True:
             try:
-                reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port())
+                reader, self.writer = await asyncio.open_connection(
+                    "127.0.0.1", self.port(), local_addr=(self.address, 0))
+                self.connects += 1
             except ConnectionError:
                 await asyncio.sleep(0.01)
                 continue
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,19 +4,24 @@
 
 import dataclasses
 import ipaddress
+import json
+import pathlib
 from collections import Counter
 from typing import Any
 
+import jsonschema
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from frostport import agent, config
 from frostport.admission.gate import FAIR, GRACE_MS, Gate, Reason, Seat, Verdict
 from frostport.admission.ladder import GAP, MARKS, Ladder, Step
 from frostport.admission.ledger import Buffers, Descriptors, Owner
 from frostport.admission.settings import Limits, Shared
 from frostport.admission.tables import Buckets, Earned, Offenders, prefix_of
+from tests.scenario import Nobody, Wire, platform, play
 
 KNOWN = ipaddress.ip_network("10.9.0.0/16")
 BASE = Limits(connections=12, known=(KNOWN,))
@@ -149,6 +154,94 @@
                                     suppress_health_check=list(HealthCheck))
 
 
+SCHEMA = json.loads((pathlib.Path(__file__).parent.parent / "deploy" / "config.schema.json").read_text(
+    encoding="utf-8"))
+
+
+@pytest.mark.parametrize(("field", "value"), [
+    ("by_address", -1), ("by_address", 1.5), ("reserve", "3"), ("address_a_second", -1), ("ladder", 1),
+    ("known", "10.0.0.0/8"), ("known", [""]), ("ipv4_prefix", 0), ("ipv6_prefix", 129), ("remembered", 1),
+    ("shared", [{"network": "10.0.0.0/8"}]), ("shared", [{"network": "10.0.0.0/8", "clients": 0}]),
+    ("sockets", 3)])
+def test_a_bad_field_of_admission_is_named(field: str, value: object) -> None:
+    record = {**platform(), "admission": {field: value}}
+    with pytest.raises(jsonschema.ValidationError):
+        jsonschema.validate(record, SCHEMA)
+    with pytest.raises(config.ConfigError, match=rf"^admission\.{field}"):
+        config.read(record)
+
+
+def test_the_schema_names_what_the_reader_of_admission_knows() -> None:
+    fields = {item.name: item.default for item in dataclasses.fields(Limits) if item.name != "connections"}
+    named = SCHEMA["properties"]["admission"]["properties"]
+    assert set(named) == set(fields)
+    for field, entry in named.items():
+        if "default" in entry:
+            assert entry["default"] == fields[field]
+    read = config.read({**platform(), "admission": {
+        "by_address": 3, "known": ["10.0.0.0/8", "2001:db8::1"], "reserve": 4,
+        "shared": [{"network": "192.0.2.0/24", "clients": 50}]}}).admission
+    assert (read.by_address, read.reserve, read.connections) == (3, 4, 32)
+    assert [str(network) for network in read.known] == ["10.0.0.0/8", "2001:db8::1/128"]
+    with pytest.raises(config.ConfigError, match=r"^admission\.reserve: leaves nothing of 32"):
+        config.read({**platform(), "admission": {"reserve": 32}})
+
+
+def test_a_process_with_fewer_descriptors_than_configured_uses_those(monkeypatch: pytest.MonkeyPatch) -> None:
+    read = config.read({**platform(), "limits": {"sockets": 1024}, "admission": {"reserve": 100}})
+    monkeypatch.setattr("resource.getrlimit", lambda which: (128, 4096))
+    used = agent.within_the_process(read)
+    assert (used.sockets, used.admission.connections, used.admission.reserve) == (128, 64, 63)
+    monkeypatch.setattr("resource.getrlimit", lambda which: (1024, 4096))
+    assert agent.within_the_process(read) is read
+
+
+def test_dials_are_counted_until_they_are_lost_and_end_where_no_descriptor_is_left() -> None:
+    world = play("""
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+    """, platform())
+    open_now = world.agent.gate.descriptors.open
+    assert (open_now[Owner.BUS], open_now[Owner.SERVERS], open_now[Owner.CLIENTS]) == (1, 2, 1)
+    for line in ("close s0 dead", "close bus dead", "wait 50"):
+        world.step(line)
+    assert (open_now[Owner.BUS], open_now[Owner.SERVERS], open_now[Owner.CLIENTS]) == (0, 1, 1)
+    world.agent.gate.descriptors.limit = 0  # as with EMFILE: every dial fails, and is tried again
+    for line in ("close s0 alive", "close bus alive", "wait 3000"):
+        world.step(line)
+    refused = world.agent.gate.descriptors.refused
+    assert refused[Owner.BUS] > 3 and refused[Owner.SERVERS] > 3
+    world.agent.gate.descriptors.limit = 64
+    for line in ("wait 600", "expect c1 nothing", "send s1 STARTED a", "expect c1 STARTED a"):
+        world.step(line)
+    assert (open_now[Owner.BUS], open_now[Owner.SERVERS]) == (1, 2)
+
+
+def test_limits_change_live_and_a_lowered_one_sheds_nothing_that_was_taken() -> None:
+    """Four clients of one address, one of them with a set-up open; then only two connections are allowed."""
+    world = play("""
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+    """, platform())
+    idle = [world.reactor.factory.buildProtocol(None) for _ in range(3)]
+    for protocol in idle:
+        wire = Wire(world, protocol)
+        wire.other = Wire(world, Nobody())
+        protocol.makeConnection(wire)
+    world.wait(GRACE_MS + 1.0)
+    world.reload('admission={"by_address": 1}')
+    assert world.agent.gate.limits.by_address == 1 and len(world.agent.gate.seats) == 4
+    assert world.reactor.factory.buildProtocol(None) is None
+    gate = world.agent.gate
+    gate.reload(dataclasses.replace(gate.limits, connections=1), world.clock.now())
+    world.agent._sweep()
+    world.settle()
+    assert [seat.busy for seat in gate.seats.values()] == [1]
+    assert gate.given_up == {Reason.LOWERED: 3}
+    for line in ("send s0 STARTED a", "expect c1 STARTED a"):
+        world.step(line)
+
+
 def fill(gate: Gate, address: str, count: int, now: float, said: bool) -> list[Seat]:
     seats = []
     for _ in range(count):
--- /dev/null
+++ b/tests/test_flood.py
@@ -0,0 +1,95 @@
+"""A flood against the real program under a lowered descriptor limit: addresses of 127.0.0.0/8 are the
+clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import resource
+import signal
+import sys
+
+from standins.lobby import Books, Caller, Lobby, configuration
+from tests.test_sigkill import PATIENCE_S, free_port, settled, up
+
+DESCRIPTORS, CONNECTIONS, CALLS = 96, 1500, 400
+
+
+async def flood(port: int, chance: random.Random) -> int:
+    """Connections from one address, each with one whole line or none, held until they are closed; bounded."""
+    held: list[asyncio.StreamWriter] = []
+    refused = 0
+    for number in range(CONNECTIONS):
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=("127.7.7.7", 0))
+        except OSError:
+            refused += 1
+            continue
+        if chance.random() < 0.7:
+            writer.write(b'{"verb":"ECHO","tag":"00000000000000ee"}\n')
+        held.append(writer)
+        if len(held) > 200:
+            held.pop(0).close()
+        if number % 10 == 0:
+            await asyncio.sleep(0.005)
+    for writer in held:
+        writer.close()
+    return refused
+
+
+async def flooded(folder: pathlib.Path) -> tuple[Books, list[int], dict[str, object], int]:
+    books = Books()
+    lobbies = [Lobby(f"h{number}", books, random.Random(number), busy=0.0) for number in (0, 1)]
+    ports = [await lobby.start() for lobby in lobbies]
+    port = free_port()
+    path = folder / "config.json"
+    admission = {"by_address": 20, "reserve": 16, "known": ["127.9.0.0/16"], "unidentified": 24}
+    path.write_text(json.dumps(configuration(port, ports, admission=admission)), encoding="utf-8")
+    usual = [Caller(number, books, random.Random(number), lambda: port,
+                    address=f"127.{8 + number % 2}.0.{number + 1}") for number in range(4)]
+    with (folder / "log").open("wb") as log:
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "frostport", "serve", "--config", str(path), stderr=log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)))
+        try:
+            await up(port)
+            tasks = [asyncio.create_task(caller.run()) for caller in usual]
+            while books.answers < 20:
+                await asyncio.sleep(0.02)
+            await flood(port, random.Random(1))
+            await settled(lambda: books.answers > CALLS)
+            for caller in usual:
+                caller.asking = False
+            await settled(lambda: not any(caller.asked or caller.mine or caller.releasing
+                                          for caller in usual))
+            await asyncio.sleep(2.5)  # what has said nothing is closed
+            open_now = len(os.listdir(f"/proc/{program.pid}/fd"))
+            program.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                program.kill()
+            await program.wait()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    lines = (folder / "log").read_text(encoding="utf-8").splitlines()
+    told = next(line for line in lines if "admission: {" in line)
+    return books, [caller.connects for caller in usual], json.loads(told[told.index("{"):]), open_now
+
+
+def test_known_clients_are_served_throughout_a_flood(tmp_path: pathlib.Path) -> None:
+    books, connects, told, open_now = asyncio.run(flooded(tmp_path))
+    log = (tmp_path / "log").read_text(encoding="utf-8")
+    print(told, open_now)
+    assert books.faults == [] and not books.unsure and books.refused == 0
+    assert connects == [1, 1, 1, 1], "a usual client lost its connection"
+    assert "Traceback" not in log and "these count" in log
+    refused = told["refused"]
+    assert isinstance(refused, dict) and refused["address"] > 100
+    descriptors = told["descriptors"]
+    assert isinstance(descriptors, dict) and sum(descriptors.values()) == open_now
