--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
 import pathlib
@@ -14,7 +13,7 @@
 import sys
 
 from standins.lobby import Books, Caller, Lobby, configuration
-from tests.test_sigkill import PATIENCE_S, free_port, settled, up
+from tests.test_sigkill import PATIENCE_S, cancelled, ended, free_port, quiet, settled, up
 
 DESCRIPTORS, CONNECTIONS, CALLS = 96, 1500, 400
 
@@ -62,21 +61,14 @@
                 await asyncio.sleep(0.02)
             await flood(port, random.Random(1))
             await settled(lambda: books.answers > CALLS)
-            for caller in usual:
-                caller.asking = False
-            await settled(lambda: not any(caller.asked or caller.mine or caller.releasing
-                                          for caller in usual))
+            await quiet(usual)
             await asyncio.sleep(2.5)  # what has said nothing is closed
             open_now = len(os.listdir(f"/proc/{program.pid}/fd"))
             program.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
         finally:
-            with contextlib.suppress(ProcessLookupError):
-                program.kill()
-            await program.wait()
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+            await ended(program)
+    await cancelled(tasks)
     lines = (folder / "log").read_text(encoding="utf-8").splitlines()
     told = next(line for line in lines if "admission: {" in line)
     return books, [caller.connects for caller in usual], json.loads(told[told.index("{"):]), open_now
--- a/tests/test_sigkill.py
+++ b/tests/test_sigkill.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Sequence
 
 from frostport.state import records
 from frostport.store import tools
@@ -57,10 +58,7 @@
                     program.kill()
                     continue
                 # The last life: clients release all they know of, servers end what nobody knows of.
-                for caller in callers:
-                    caller.asking = False
-                await settled(lambda: not any(caller.asked or caller.mine or caller.releasing
-                                              for caller in callers))
+                await quiet(callers)
                 await asyncio.sleep(1.2)  # the guard and what servers told again
                 left = {call for lobby in lobbies for call in lobby.held}
                 for call in left - books.unsure:
@@ -71,13 +69,29 @@
                 program.send_signal(signal.SIGTERM)
                 assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
             finally:
-                with contextlib.suppress(ProcessLookupError):
-                    program.kill()
-                await program.wait()
+                await ended(program)
+    await cancelled(tasks)
+    return books
+
+
+async def quiet(callers: Sequence[Caller]) -> None:
+    """Clients ask no more, and release all they know to stand."""
+    for caller in callers:
+        caller.asking = False
+    await settled(lambda: not any(caller.asked or caller.mine or caller.releasing for caller in callers))
+
+
+async def ended(program: asyncio.subprocess.Process) -> None:
+    """Whatever became of it, the program is gone afterwards."""
+    with contextlib.suppress(ProcessLookupError):
+        program.kill()
+    await program.wait()
+
+
+async def cancelled(tasks: Sequence[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    return books
 
 
 async def settled(done: object, patience_s: float = PATIENCE_S) -> None:
