--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -117,7 +117,6 @@
         self.slot = self.caller = -1
         self.seat: Seat | None = None  # where the peer calls
         self.released: Callable[[], None] = lambda: None  # its descriptor is free again
-        self.since = clock.now()
         self._frames = Frames()
         self._waiting: deque[bytes] = deque()  # messages read and not yet handled
         self._limit: Deadline | None = None  # for the exchange of capabilities, or a goodbye
