--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -72,3 +72,27 @@
     parts = {str(path.relative_to(ROOT)) for path in (ROOT / "frostport").rglob("*.py")}
     named = {part for part in parts for node in deploy["node"] if part == node or part.startswith(node + "/")}
     assert parts - named == simulator
+
+
+REFUSED = {"subprocess", "multiprocessing", "concurrent.futures.process", "os.fork", "os.forkpty",
+           "os.system", "os.popen", "os.posix_spawn", "os.execv", "os.sendfile", "os.splice", "pty",
+           "socket.AF_UNIX", "socket.socketpair", "ctypes"}
+
+
+def refused_in(path: pathlib.Path) -> set[str]:
+    """What of the standing days' refusals (programs, fork, splice, sendfile, Unix sockets) a file uses."""
+    used = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+            used.add(f"{node.value.id}.{node.attr}")
+    return (imported(path) | used) & REFUSED
+
+
+def test_run_is_one_process_that_asks_for_nothing_refused() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))
+    assert deploy["run"].startswith("exec ")
+    assert not set(deploy["run"]) & set(";&|`$()<>")  # one command, nothing before or after it
+    node = [ROOT / part for part in deploy["node"]]
+    files = [file for part in node for file in ([part] if part.is_file() else sorted(part.rglob("*.py")))]
+    assert files
+    assert {str(file.relative_to(ROOT)): refused_in(file) for file in files if refused_in(file)} == {}
