--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -10,6 +10,7 @@
 import random
 import resource
 import signal
+import socket
 import typing
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
@@ -39,7 +40,9 @@
 from frostport.net.bus import BusConnection, EventBus, ServerList
 from frostport.net.front import PlatformFront
 from frostport.net.lobby import LobbyServers
+from frostport.net.operator import Door, Operation
 from frostport.net.peers import Peers, split
+from frostport.net.peers import listen as listen_peers
 
 if TYPE_CHECKING:  # both are loaded only where a store is set
     from frostport.durability import Durability
@@ -56,6 +59,10 @@
 LIVE = ("bus", "sockets", "contracts", "admission")  # what a reload changes in the running program
 PAST = ("seed", "known", "offset")  # what only the start needs
 NEVER_S = 3600.0  # the endpoint's own timeout; the real one is a deadline
+EMPTIED_MS = 100.0  # how often a drain or a handover looks whether all is answered and closed
+HANDOVER_MOST_MS = 5000.0  # after SIGTERM on an upgrade, SIGKILL comes 0.7 s after the longest deadline,
+# at most 5 s: what is open then is answered
+HANDOVER_SPARE_MS = 300.0  # for those last answers to leave
 
 
 class Pump:
@@ -100,8 +107,7 @@
         agent, config = self.agent, self.agent.config
         if config.peer_listen:
             peers = Peers(agent.broker, config.peers)
-            host, port = split(config.peer_listen)
-            agent.reactor.listenUDP(port, peers, interface=host)
+            listen_peers(agent.reactor, config.peer_listen, peers)
             agent.gate.descriptors.take(Owner.PEERS)
             agent.broker.tell = peers.tell
         self.list.known(config.known, config.offset)
@@ -230,6 +236,9 @@
         self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
         self.own_descriptors: Callable[[], int] = lambda: 0  # of the process, before it serves anyone
         self.listener: Any = None
+        self.inherited: int | None = None  # the clients' listening socket, where the platform holds it
+        self.door: Door | None = None
+        self._listening = False
         self._end: Deadline | None = None
         self._sweeping: Deadline | None = None
         self.lifecycle.listen(self.entered)
@@ -264,8 +273,18 @@
         """Opens everything; the list known at the start goes to the module first."""
         if self.durability is not None:
             self.durability.resume(self)
-        host, port = split(self.config.listen)
-        self.listener = self.reactor.listenTCP(port, self.side.factory(), backlog=512, interface=host)
+        if self.inherited is not None:
+            # An upgrade: the platform holds the socket, and the process before this one still accepts on it.
+            self.listener = self.reactor.adoptStreamPort(self.inherited, socket.AF_INET, self.side.factory())
+            os.close(self.inherited)  # the port has a copy of its own
+        else:
+            host, port = split(self.config.listen)
+            self.listener = self.reactor.listenTCP(port, self.side.factory(), backlog=512, interface=host)
+        self._listening = True
+        if self.config.operator:
+            self.door = Door(self.operations(), self.clock, self.deadlines)
+            host, port = split(self.config.operator)
+            self.reactor.listenTCP(port, self.door, interface=host)
         # With the listener, and the spare one that Twisted gives up for a moment where accept finds none
         # left.
         self.gate.descriptors.take(Owner.OWN, self.own_descriptors())
@@ -317,19 +336,83 @@
         log.info("reload: done; changed: %s", ", ".join(set(changed) - set(fixed)) or "nothing")
 
     def terminate(self) -> None:
-        """SIGTERM: serves on for what still comes, answers all that was taken, then ends."""
-        if self.lifecycle.phase is Phase.SERVING:
+        """SIGTERM: serves on for what still comes, answers all that was taken, then ends.
+
+        On an upgrade, where the newer process accepts on the same socket, this one takes no more at once."""
+        if self.inherited is not None and self.lifecycle.may(Phase.HANDING_OVER):
+            self.lifecycle.enter(Phase.HANDING_OVER)
+        elif self.lifecycle.may(Phase.CLOSING):
             self.lifecycle.enter(Phase.CLOSING)
 
+    # The operators' door
+
+    def operations(self) -> dict[str, Operation]:
+        return {"ready": self.ready, "drain": self.drain, "resume": self.resume}
+
+    def ready(self, _: str) -> list[str]:
+        phase = self.lifecycle.phase
+        return ["OK yes"] if self.lifecycle.ready() else [f"ERR no: {phase.value}"]
+
+    def drain(self, _: str) -> list[str]:
+        phase = self.lifecycle.phase
+        if phase in (Phase.DRAINING, Phase.DRAINED):
+            return [f"OK {phase.value} already"]
+        if not self.lifecycle.may(Phase.DRAINING):
+            return [f"ERR not while {phase.value}"]
+        self.lifecycle.enter(Phase.DRAINING)
+        return ["OK draining"]
+
+    def resume(self, _: str) -> list[str]:
+        phase = self.lifecycle.phase
+        if phase is Phase.SERVING:
+            return ["OK serving already"]
+        if phase not in (Phase.DRAINING, Phase.DRAINED):
+            return [f"ERR not while {phase.value}"]
+        self.lifecycle.enter(Phase.SERVING)
+        return ["OK serving"]
+
+    def _emptied(self) -> None:
+        """A drain is over once no client connection and no request is left; a handover ends then."""
+        self.side.front.empty()  # guards against a connection whose last call ended without a word on it
+        phase, empty = self.lifecycle.phase, not self.side.front.held() and not self.broker.open
+        if phase is Phase.DRAINING and empty:
+            self.lifecycle.enter(Phase.DRAINED)
+        elif phase is Phase.HANDING_OVER and empty:
+            self.lifecycle.enter(Phase.STOPPING)
+        elif phase in (Phase.DRAINING, Phase.HANDING_OVER):
+            self.deadlines.set(self.clock.now() + EMPTIED_MS, self._emptied)
+
+    def _stop_listening(self) -> None:
+        if self._listening:
+            self._listening = False
+            self.listener.stopListening()
+
+    def _hand_over_ends(self) -> None:
+        """Before SIGKILL: what is still open is answered, and the program ends."""
+        self.broker.fail_all()
+        if self.lifecycle.phase is Phase.HANDING_OVER:
+            self.lifecycle.enter(Phase.STOPPING)
+
     def entered(self, phase: Phase) -> None:
         now = self.clock.now()
         match phase:
             case Phase.CLOSING:
                 log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
-                self.deadlines.set(now + CLOSING_MS, lambda: self.lifecycle.enter(Phase.DRAINING))
+                self.deadlines.set(now + CLOSING_MS, lambda: self.lifecycle.enter(Phase.STOPPING))
                 self._end = self.deadlines.set(now + LAST_ANSWER_MS, self.broker.fail_all)
             case Phase.DRAINING:
-                self.listener.stopListening()
+                self.side.front.empty()
+                self._emptied()
+            case Phase.HANDING_OVER:
+                self._stop_listening()
+                log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
+                longest = max((kind.deadline_ms for kind in self.config.settings.classes), default=0.0)
+                self._end = self.deadlines.set(
+                    now + min(longest, HANDOVER_MOST_MS) - HANDOVER_SPARE_MS, self._hand_over_ends)
+                self.side.front.empty()
+                self._emptied()
+            case Phase.STOPPING:
+                self._stop_listening()
                 self.broker.idle = self.finish
                 if not self.broker.open:
                     self.finish()
@@ -372,7 +455,8 @@
     observer("frostport.twisted").start()
 
 
-def serve(config: Config, path: pathlib.Path | None = None, reactor: Any = None) -> int:
+def serve(config: Config, path: pathlib.Path | None = None, reactor: Any = None,
+          inherited: int | None = None) -> int:
     """Runs a call agent until it is told to end. Raises StoreError where its store can't be opened."""
     if reactor is None:
         from twisted.internet import reactor
@@ -383,7 +467,7 @@
 
         durability = part.Durability.open(config.store)
     agent = Agent(within_the_process(config), reactor, durability=durability)
-    agent.path, agent.own_descriptors = path, own_descriptors
+    agent.path, agent.own_descriptors, agent.inherited = path, own_descriptors, inherited
 
     def on_term(signum: int, frame: object) -> None:
         reactor.callFromThread(agent.terminate)
--- a/frostport/cli/__init__.py
+++ b/frostport/cli/__init__.py
@@ -61,7 +61,8 @@
         path = config.find_path(getattr(given, "config", None), os.environ)
         if given.command != "check-config":
             signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what it asks for is done already, at the start
-        loaded = config.load(path)
+        loaded = config.from_environment(config.load(path), os.environ)
+        inherited = config.inherited_listener(os.environ) if given.command != "check-config" else None
     except config.ConfigError as problem:
         what = "contracts" if given.command == "contracts" else "configuration"
         print(f"frostport: {what}: {problem}", file=sys.stderr)
@@ -74,11 +75,11 @@
 
     gc.freeze()  # what was imported stays: the collector need not look at it again
     if loaded.store is None:
-        return serve(loaded, path)
+        return serve(loaded, path, inherited=inherited)
     from frostport.store.errors import StoreError
 
     try:
-        return serve(loaded, path)
+        return serve(loaded, path, inherited=inherited)
     except StoreError as problem:
         print(f"frostport: store: {problem}", file=sys.stderr)
         return 2
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -24,6 +24,8 @@
 from frostport.settings import SettingsError
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
+OPERATOR_VARIABLE = "PROXY_OPERATOR"  # the door's address for this process; over the file's `operator`
+LISTEN_FD_VARIABLE = "PROXY_LISTEN_FD"  # a listening socket inherited for the clients, on upgrades
 SOCKETS_LEAST = 32
 NUMERIC = re.compile(r"[0-9.]+\Z")
 WATCHDOG_LEAST_MS = 6000.0
@@ -48,6 +50,7 @@
     contracts: tuple[Contract, ...] = ()
     store: StoreConfig | None = None
     admission: Limits = dataclasses.field(default_factory=lambda: Limits(most_clients(1024)))
+    operator: str | None = None  # the operators' door
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +79,37 @@
     return pathlib.Path(path)
 
 
+def from_environment(config: Config, environment: Mapping[str, str]) -> Config:
+    """What the process's own environment says over the file: the door's address."""
+    door = environment.get(OPERATOR_VARIABLE)
+    if door:
+        config = dataclasses.replace(config, operator=check_address(OPERATOR_VARIABLE, door))
+    return config
+
+
+def inherited_listener(environment: Mapping[str, str]) -> int | None:
+    """The descriptor of a listening TCP socket that the process inherits, where one is named."""
+    import socket
+
+    text = environment.get(LISTEN_FD_VARIABLE)
+    if text is None or text == "":
+        return None
+    if not text.isdecimal() or len(text) > 6:
+        raise ConfigError(f"{LISTEN_FD_VARIABLE}: not a descriptor: {text[:20]!r}")
+    descriptor = int(text)
+    try:
+        with socket.fromfd(descriptor, socket.AF_INET, socket.SOCK_STREAM) as inherited:
+            listening = inherited.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            kind = inherited.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE)
+            family = inherited.getsockopt(socket.SOL_SOCKET, socket.SO_DOMAIN)
+    except OSError as problem:
+        reason = problem.strerror or str(problem)
+        raise ConfigError(f"{LISTEN_FD_VARIABLE}: descriptor {descriptor}: {reason}") from None
+    if kind != socket.SOCK_STREAM or family != socket.AF_INET or not listening:
+        raise ConfigError(f"{LISTEN_FD_VARIABLE}: descriptor {descriptor}: not a listening IPv4 TCP socket")
+    return descriptor
+
+
 def load(path: pathlib.Path) -> Config:
     try:
         record = orjson.loads(path.read_bytes())
@@ -155,7 +189,8 @@
         diameter=read_diameter(record, given) if "diameter" in record else None,
         contracts=all_contracts(record, folder),
         store=read_store(record, folder) if "store" in record else None,
-        admission=read_admission(record, sockets))
+        admission=read_admission(record, sockets),
+        operator=address(record, "operator", optional=True))
 
 
 OWN_SOCKETS = 64  # descriptors kept for servers, the event bus, peers and the program itself
--- a/frostport/core/lifecycle.py
+++ b/frostport/core/lifecycle.py
@@ -1,4 +1,8 @@
-"""The program's phases, from start to exit, as named states of one object."""
+"""The program's phases, from start to exit, as named states of one object.
+
+An operator's drain and resume, an upgrade's handover and SIGTERM's end are all moves of this one
+object, each move named in `NEXT`; whatever must happen on a move listens for it.
+"""
 
 from __future__ import annotations
 
@@ -13,19 +17,30 @@
     """Where the program stands."""
 
     STARTING = "starting"  # nothing is open yet
-    SERVING = "serving"  # new connections and requests are taken
+    SERVING = "serving"  # new connections and requests are taken; ready says yes
+    DRAINING = "draining"  # told to drain: ready says no; what comes on open connections is served, each
+    # connection closes once it holds nothing
+    DRAINED = "drained"  # no client connection and no request is left; resume brings serving back
+    HANDING_OVER = "handing over"  # a newer process serves on the same socket: this one takes no more, and
+    # gives its store up once what it holds is answered
     CLOSING = "closing"  # told to end: what still comes is taken and served, tests fail
-    DRAINING = "draining"  # no new connections or requests; what was taken is answered
+    STOPPING = "stopping"  # no new connections or requests; what was taken is answered
     STOPPED = "stopped"  # all answered: the program exits
 
 
 NEXT = {
     Phase.STARTING: (Phase.SERVING, Phase.STOPPED),
-    Phase.SERVING: (Phase.CLOSING,),
-    Phase.CLOSING: (Phase.DRAINING,),
-    Phase.DRAINING: (Phase.STOPPED,),
+    Phase.SERVING: (Phase.DRAINING, Phase.CLOSING, Phase.HANDING_OVER),
+    Phase.DRAINING: (Phase.SERVING, Phase.DRAINED, Phase.CLOSING, Phase.HANDING_OVER),
+    Phase.DRAINED: (Phase.SERVING, Phase.DRAINING, Phase.CLOSING, Phase.HANDING_OVER),
+    Phase.HANDING_OVER: (Phase.STOPPING,),
+    Phase.CLOSING: (Phase.STOPPING,),
+    Phase.STOPPING: (Phase.STOPPED,),
     Phase.STOPPED: (),
 }
+READY = (Phase.SERVING,)  # where ready says yes
+TAKING = (Phase.SERVING, Phase.DRAINING, Phase.DRAINED, Phase.HANDING_OVER, Phase.CLOSING)  # requests taken
+EMPTYING = (Phase.DRAINING, Phase.DRAINED, Phase.HANDING_OVER, Phase.STOPPING)  # connections close once idle
 
 
 class Lifecycle:
@@ -46,6 +61,18 @@
         for listener in self._listeners:
             listener(phase)
 
+    def may(self, phase: Phase) -> bool:
+        """Whether the program can move to this phase now."""
+        return phase in NEXT[self.phase]
+
     def takes(self) -> bool:
         """Whether requests that come now are taken."""
-        return self.phase in (Phase.SERVING, Phase.CLOSING)
+        return self.phase in TAKING
+
+    def ready(self) -> bool:
+        """Whether this process says that it serves: new connections are welcome."""
+        return self.phase in READY
+
+    def emptying(self) -> bool:
+        """Whether a client connection closes once it holds no request and owes nothing."""
+        return self.phase in EMPTYING
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -87,6 +87,13 @@
             if link is not None:
                 link.drop()
 
+    def empty(self) -> None:
+        """A drain leaves peers' connections up: a peer is told of it by its watchdogs, not by a close."""
+
+    def held(self) -> int:
+        """Client connections that a drain waits for: none, as peers stay."""
+        return 0
+
     def closed(self, link: PeerConnection) -> None:
         if link.caller >= 0:
             self.callers.free(link.caller)
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -65,6 +65,7 @@
         self.known = False  # a call has stood here, or a release was heard: a usual client's
         self.strikes = 0
         self.owing: set[str] = set()  # releases said here and not confirmed
+        self.standing: set[str] = set()  # calls answered here that stand: their release is told here
         self._limit: Deadline | None = None
 
     def opened(self) -> None:
@@ -107,6 +108,9 @@
     # What it says
 
     def read(self) -> None:
+        self.leave_if_idle()
+        if not self.alive:
+            return
         if not self.lines.partial:
             if self.spoke and not self.stuck:
                 self._await(None)
@@ -155,6 +159,15 @@
             self.held = used
             (self.front.gate.took if used else self.front.gate.done)(self.seat)
 
+    def leave_if_idle(self) -> None:
+        """While the agent empties, closes once nothing is open or owed here and nothing waits to be read.
+
+        Guards against losing a request: one that was read, or begun, is served first."""
+        if self.alive and self.spoke and not self.open and not self.owing and not self.standing \
+                and not self.lines.partial \
+                and not self._waiting and self.front.lifecycle.emptying():
+            self.hang_up()
+
     def usable(self) -> bool:
         """Whether a release may be told here."""
         return self.alive and self.spoke and not self.stuck
@@ -201,7 +214,16 @@
         self.longest_ms = max((cls.deadline_ms for cls in settings.classes), default=0.0)
 
     def serving(self) -> bool:
-        return self.lifecycle.phase.value == "serving"
+        return self.lifecycle.ready()
+
+    def empty(self) -> None:
+        """The agent empties: connections that hold nothing close now, the others once they do."""
+        for connection in list(self.connections):
+            connection.leave_if_idle()
+
+    def held(self) -> int:
+        """Client connections still open."""
+        return len(self.connections)
 
     def build(self, address: str) -> ClientConnection | None:
         """A protocol for a new connection that the gate admits; those who make room for it are closed."""
@@ -279,12 +301,13 @@
             return False
         known.place = connection.slot
         connection.known = True
+        connection.standing.add(known.id)
         connection.say(Message("STARTED", known.id, blob=str(known.description)))
         return True
 
     def finish(self, connection: ClientConnection, message: Message) -> None:
         """A give-up before the answer, or the release of a call that stands, on any connection."""
-        request = self.broker.find(message.tag)
+        request, answered_on = self.broker.find(message.tag), None
         if request is None:
             # Also where a give-up crosses our final answer: there the broker knows the id, and does nothing.
             connection.open.pop(message.tag, None)
@@ -296,8 +319,23 @@
             if request.state is State.OPEN:
                 self.broker.gone(request)
             else:
+                answered_on = self._stood(request.id, request.place)
                 self.broker.release(request)
-        self.broker.recorder.barrier(lambda: connection.say(Message("FINISHED", message.tag)))
+        self.broker.recorder.barrier(lambda: self._finished(connection, message.tag, answered_on))
+
+    def _stood(self, call: str, place: int) -> ClientConnection | None:
+        """A call no longer stands on the connection where it was answered; that connection, if any."""
+        connection = self.connections.get(place)
+        if connection is None or call not in connection.standing:
+            return None
+        connection.standing.discard(call)
+        return connection
+
+    def _finished(self, connection: ClientConnection, tag: str, answered_on: ClientConnection | None) -> None:
+        connection.say(Message("FINISHED", tag))
+        connection.leave_if_idle()  # only now: the confirmation leaves before the close
+        if answered_on is not None:
+            answered_on.leave_if_idle()
 
     def heard(self, connection: ClientConnection, tag: str) -> None:
         if self._settle(tag):
@@ -349,8 +387,10 @@
         if connection is not None:
             if message.verb == "STARTED":
                 connection.known = True
+                connection.standing.add(request.id)
                 self.gate.earns(connection.seat, self.broker.clock.now())
             connection.say(message)
+            connection.leave_if_idle()
 
     def stands(self, request: Request, description: Body) -> None:
         self._say(request, Message("STARTED", request.id, blob=str(description)))
@@ -367,6 +407,9 @@
         host = connection.host if connection is not None else ""
         self.owed[call] = Owed(CAUSES.get(outcome, jsonl.BROKEN), self.broker.clock.now(), -1, host)
         self._tell(call, connection if connection is not None and connection.usable() else None)
+        answered_on = self._stood(call, place)
+        if answered_on is not None:
+            answered_on.leave_if_idle()
         self._watch()
 
     def resume(self, owed: Mapping[str, tuple[str, Outcome, float]]) -> None:
--- a/frostport/net/peers.py
+++ b/frostport/net/peers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+import socket
 from typing import Any
 
-from twisted.internet import protocol
+from twisted.internet import protocol, udp
+from twisted.internet.posixbase import PosixReactorBase
 
 from frostport.core.broker import Broker
 from frostport.core.complaints import Complaints
@@ -21,6 +23,27 @@
     return host, int(port)
 
 
+class SharedPort(udp.Port):
+    """A datagram port that a second process may bind as well, while both run: an upgrade's overlap.
+
+    Guards the newer process against `address already in use`: the old one holds the port until it ends."""
+
+    def createInternetSocket(self) -> socket.socket:  # noqa: N802 (Twisted's name)
+        made: socket.socket = super().createInternetSocket()
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        return made
+
+
+def listen(reactor: Any, address: str, peers: Peers) -> None:
+    """Binds the peers' datagrams, shared with a process that upgrades this one, where sockets are real."""
+    host, port = split(address)
+    if not isinstance(reactor, PosixReactorBase):
+        reactor.listenUDP(port, peers, interface=host)
+        return
+    made: Any = SharedPort(port, peers, interface=host, reactor=reactor)  # type: ignore[no-untyped-call]
+    made.startListening()
+
+
 class Peers(protocol.DatagramProtocol):
     """Sends to peers by their number, and knows a sender by its address."""
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -30,6 +30,7 @@
 from frostport.core.clock import SetClock
 from frostport.core.lifecycle import Phase
 from frostport.net import jsonl
+from frostport.net.operator import Door
 
 START_MS = 1_800_000_000_000.0
 Heard = dict[str, str]
@@ -98,13 +99,22 @@
     def __init__(self, world: World) -> None:
         self.world, self.stopped = world, False
         self.factory: Any = None
+        self.door: Any = None
+        self.adopted: int | None = None
         self.udp: Any = None
 
     def callLater(self, delay: float, action: Callable[[], None]) -> Any:  # noqa: N802
         return type("Call", (), {"active": lambda self: False})()  # the world runs the deadlines itself
 
     def listenTCP(self, port: int, factory: Any, **more: Any) -> Reactor:  # noqa: N802
-        self.factory = factory
+        if isinstance(factory, Door):
+            self.door = factory
+        else:
+            self.factory = factory
+        return self
+
+    def adoptStreamPort(self, descriptor: int, family: int, factory: Any) -> Reactor:  # noqa: N802
+        self.adopted, self.factory = descriptor, factory
         return self
 
     def listenUDP(self, port: int, protocol: Any, **more: Any) -> None:  # noqa: N802
@@ -288,6 +298,21 @@
             self.settle()
         self.clock.at = end
 
+    def ask(self, line: str) -> str:
+        """One call at the operators' door; what it answers."""
+        assert self.reactor.door is not None, "no door"
+        connection = self.reactor.door.buildProtocol(None)
+        said = type("Said", (), {"text": b"", "closed": False})()
+        connection.makeConnection(type("Transport", (), {
+            "write": lambda _, data: setattr(said, "text", said.text + data),
+            "loseConnection": lambda _: setattr(said, "closed", True),
+            "abortConnection": lambda _: setattr(said, "closed", True)})())
+        connection.dataReceived(line.encode() + b"\n")
+        assert said.closed, "the door did not close"
+        connection.connectionLost(None)
+        self.settle()
+        return str(said.text.decode())
+
     def reload(self, text: str) -> None:
         """SIGHUP, after the file was replaced: by a text, or with one field changed."""
         field, _, value = text.partition("=")
@@ -307,6 +332,11 @@
                 self.reload(rest[4:])
             case "send", "agent":
                 self.agent.terminate()
+            case "door", _:
+                asked, _, wanted = f"{who} {rest}".partition(" => ")
+                said = self.ask(asked)
+                assert said.startswith(wanted), f"the door said {said!r}, not {wanted!r}"
+                return
             case "expect", "agent":
                 told = {"exit": self.agent.lifecycle.phase is Phase.STOPPED and self.reactor.stopped,
                         f"phase {self.agent.lifecycle.phase.value}": True,
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,325 @@
+"""The operators' door, drains and handovers, on a set clock; no bench."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import socket
+from typing import Any
+
+import pytest
+
+from frostport import cli, config
+from frostport.core.clock import SetClock
+from frostport.core.deadlines import Deadlines
+from frostport.net import operator
+from frostport.net.operator import LONGEST_LINE, MOST_OPEN, SAY_WITHIN_MS, Door, Operation, OperatorError
+from tests.scenario import World, platform, play
+
+SET_UP = """
+    send c1 START a class=race left=3000 extras=dest:0
+    expect s0 START a
+"""
+
+
+def with_door(**more: Any) -> dict[str, Any]:
+    return {**platform(), "operator": "10.0.9.1:3", **more}
+
+
+SCENARIOS = {
+    "ready says yes while serving, no once drained, yes on resume": """
+        door ready => OK yes
+        door drain => OK draining
+        expect agent phase drained
+        door ready => ERR no: drained
+        door resume => OK serving
+        door ready => OK yes
+        expect agent phase serving
+    """,
+    "a drain closes idle connections at once, a busy one after its last answer": SET_UP + """
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1 rc=1
+        door drain => OK draining
+        expect c2 closed
+        send c1 ECHO 2 rc=0
+        expect c1 ECHOED 2 rc=0
+        wait 500
+        expect agent phase draining
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        wait 500
+        expect c1 nothing
+        send c1 FINISH a rc=16
+        expect s0 FINISH a
+        expect c1 FINISHED a
+        expect c1 closed
+        wait 100
+        expect agent phase drained
+    """,
+    "a set-up that comes on a draining connection is served, then it closes": SET_UP + """
+        door drain => OK draining
+        send c1 START b class=race left=3000 extras=dest:1
+        expect s1 START b
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        send s1 STARTED b blob=answer
+        expect c1 STARTED b
+        send c1 FINISH a rc=16
+        send c1 FINISH b rc=16
+        expect c1 FINISHED a
+        expect c1 FINISHED b
+        expect c1 closed
+    """,
+    "a drain keeps a connection while a call stands on it: its release is told there": SET_UP + """
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1 rc=1
+        door drain => OK draining
+        expect c2 closed
+        wait 1000
+        expect c1 nothing
+        expect agent phase draining
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+        send c1 FINISHED a
+        expect c1 closed
+        wait 100
+        expect agent phase drained
+    """,
+    "a call released by its client on another connection lets its own close": SET_UP + """
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        door drain => OK draining
+        send c2 FINISH a rc=16
+        expect s0 FINISH a
+        expect c1 closed
+    """,
+    "drain and resume said twice change nothing": """
+        send c1 ECHO 1 rc=0
+        door drain => OK draining
+        door drain => OK draining already
+        expect c1 ECHOED 1 rc=1
+        expect c1 closed
+        wait 100
+        door drain => OK drained already
+        expect agent phase drained
+        door resume => OK serving
+        door resume => OK serving already
+        expect agent phase serving
+    """,
+    "after resume, connections stay": """
+        door drain => OK draining
+        door resume => OK serving
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 START a
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        send c1 ECHO 1 rc=0
+        expect c1 ECHOED 1 rc=1
+    """,
+    "the door answers unknown and malformed calls with ERR": """
+        door restart => ERR unknown call 'restart'
+        door  => ERR no call
+        door PUT drain => OK draining
+        door GET ready => ERR no: drained
+    """,
+    "SIGTERM during a drain ends the program": SET_UP + """
+        door drain => OK draining
+        send agent term
+        expect agent phase closing
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        wait 1000
+        expect agent exit
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_door(name: str) -> None:
+    play(SCENARIOS[name], with_door())
+
+
+class Upgraded(World):
+    """An agent on a listening socket that the platform holds."""
+
+    def made(self) -> Any:
+        agent = super().made()
+        self.held = socket.socket()
+        self.held.bind(("127.0.0.1", 0))
+        self.held.listen()
+        agent.inherited = os.dup(self.held.fileno())
+        return agent
+
+
+HANDOVER = {
+    "on SIGTERM the old process stops accepting at once, serves what it holds, and ends": SET_UP + """
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1 rc=1
+        send agent term
+        expect agent phase handing over
+        expect c2 closed
+        send c1 START b class=race left=2000 extras=dest:1
+        expect s1 START b
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        send s1 STARTED b blob=answer
+        expect c1 STARTED b
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+        send c1 FINISHED a
+        send s1 FINISH b rc=16
+        expect c1 FINISH b rc=16
+        send c1 FINISHED b
+        expect c1 closed
+        wait 200
+        expect agent exit
+    """,
+    "what is still open before SIGKILL is answered": """
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+        send agent term
+        wait 4650
+        expect c1 nothing
+        wait 100
+        expect c1 FINISH a rc=41
+        wait 100
+        expect agent exit
+    """,
+}
+
+
+@pytest.mark.parametrize("name", HANDOVER)
+def test_handover(name: str) -> None:
+    world: Any = play(HANDOVER[name], with_door(), Upgraded)
+    assert world.reactor.adopted is not None
+    assert world.reactor.factory is None  # the old one stopped listening
+    world.held.close()
+
+
+def door() -> tuple[Door, SetClock, Deadlines]:
+    clock, deadlines = SetClock(0.0), Deadlines()
+    calls: dict[str, Operation] = {"ready": lambda rest: ["OK yes"],
+                                   "disable-server": lambda rest: [f"OK {operator.argument(rest)}"]}
+    return Door(calls, clock, deadlines), clock, deadlines
+
+
+class Caller:
+    """A transport that keeps what the door writes."""
+
+    def __init__(self, made: Door) -> None:
+        self.text, self.closed = b"", False
+        self.protocol: Any = made.buildProtocol(None)
+        self.protocol.makeConnection(self)  # type: ignore[no-untyped-call]
+
+    def write(self, data: bytes) -> None:
+        self.text += data
+
+    def loseConnection(self) -> None:  # noqa: N802 (Twisted's name)
+        self.closed = True
+        self.protocol.connectionLost(None)
+
+    abortConnection = loseConnection  # noqa: N815
+
+
+def test_a_caller_that_says_nothing_whole_costs_nobody_else() -> None:
+    made, clock, deadlines = door()
+    silent = Caller(made)
+    silent.protocol.dataReceived(b"rea")
+    clock.at = SAY_WITHIN_MS - 1.0
+    deadlines.run(clock.now())
+    other = Caller(made)
+    other.protocol.dataReceived(b"ready\r\n")
+    assert other.text == b"OK yes\n" and other.closed
+    assert not silent.closed
+    clock.at = SAY_WITHIN_MS
+    deadlines.run(clock.now())
+    assert silent.closed and silent.text == b""
+    assert made.open == 0
+
+
+def test_the_door_bounds_lines_and_connections() -> None:
+    made, _, _ = door()
+    long = Caller(made)
+    long.protocol.dataReceived(b"x" * LONGEST_LINE)
+    assert long.text == b"ERR line too long\n" and long.closed
+    held = [Caller(made) for _ in range(MOST_OPEN)]
+    extra = Caller(made)
+    assert extra.text == b"ERR busy\n" and extra.closed
+    assert not any(caller.closed for caller in held)
+
+
+@pytest.mark.parametrize(("line", "said"), [
+    (b"disable-server h3", b"OK h3\n"),
+    (b'PUT disable-server {"id": "h3"}', b"OK h3\n"),
+    (b'disable-server {"id": ""}', b"ERR no id\n"),
+    (b"disable-server {broken", b"ERR not JSON\n"),
+    (b"disable-server", b"ERR no id\n"),
+    (b"disable-server h3 h4", b"ERR one id, not 2\n"),
+    (b"\xff\xfe", b"ERR not ASCII\n"),
+    (b"show-everything", b"ERR unknown call 'show-everything'; calls: disable-server ready\n"),
+])
+def test_calls_and_their_errors(line: bytes, said: bytes) -> None:
+    made, _, _ = door()
+    caller = Caller(made)
+    caller.protocol.dataReceived(line + b"\n")
+    assert caller.text == said
+
+
+def test_an_argument_is_a_word_or_json() -> None:
+    assert operator.argument(' {"id": 7} ') == "7"
+    with pytest.raises(OperatorError):
+        operator.argument('{"id": true}')
+
+
+def test_a_bad_inherited_descriptor_is_named(tmp_path: pathlib.Path) -> None:
+    for text in ("five", "-1"):
+        with pytest.raises(config.ConfigError, match="PROXY_LISTEN_FD: not a descriptor"):
+            config.inherited_listener({"PROXY_LISTEN_FD": text})
+    with open(tmp_path / "file", "w") as file, pytest.raises(config.ConfigError, match="PROXY_LISTEN_FD"):
+        config.inherited_listener({"PROXY_LISTEN_FD": str(file.fileno())})
+    with socket.socket() as unbound, pytest.raises(config.ConfigError, match="not a listening"):
+        config.inherited_listener({"PROXY_LISTEN_FD": str(unbound.fileno())})
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen()
+        assert config.inherited_listener({"PROXY_LISTEN_FD": str(listening.fileno())}) == listening.fileno()
+    assert config.inherited_listener({}) is None
+
+
+def test_serve_exits_2_on_a_closed_inherited_descriptor(tmp_path: pathlib.Path, monkeypatch: Any,
+                                                        capsys: Any) -> None:
+    (tmp_path / "config.json").write_text(__import__("json").dumps(with_door()), encoding="utf-8")
+    closed = os.dup(0)
+    os.close(closed)
+    monkeypatch.setenv("PROXY_LISTEN_FD", str(closed))
+    assert cli.main(["serve", "--config", str(tmp_path / "config.json")]) == 2
+    lines = capsys.readouterr().err.strip().split("\n")
+    assert len(lines) == 1 and "PROXY_LISTEN_FD" in lines[0]
+
+
+def test_the_door_address_comes_from_the_environment() -> None:
+    loaded = config.read(with_door())
+    assert loaded.operator == "10.0.9.1:3"
+    assert config.from_environment(loaded, {"PROXY_OPERATOR": "127.0.0.1:9100"}).operator == "127.0.0.1:9100"
+    with pytest.raises(config.ConfigError, match="PROXY_OPERATOR"):
+        config.from_environment(loaded, {"PROXY_OPERATOR": "nowhere"})
+    with pytest.raises(config.ConfigError, match="operator"):
+        config.read(with_door(operator="nowhere"))
+
+
+def test_two_processes_hold_the_peers_datagram_port() -> None:
+    from twisted.internet.selectreactor import SelectReactor
+
+    from frostport.net.peers import Peers, listen
+
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    broker: Any = None
+    ports = []
+    for _ in range(2):  # the old process and the new one, in the overlap of an upgrade
+        listen(SelectReactor(), address, Peers(broker, []))
+        ports.append(address)
+    assert len(ports) == 2
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -591,13 +591,13 @@
         send c2 START b class=race left=2000 extras=dest:1
         expect s1 START b
         wait 1000
-        expect agent phase draining
+        expect agent phase stopping
         send c2 START c class=race left=2000 extras=dest:1
         expect c2 FINISH c rc=42
         send s0 STARTED a blob=answer
         expect c1 STARTED a
         wait 100
-        expect agent phase draining
+        expect agent phase stopping
         send s1 STARTED b blob=answer
         expect c2 STARTED b
         wait 60
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -184,7 +184,7 @@
         send s0 STARTED a blob=table
         send agent term
         wait 900
-        expect agent phase draining
+        expect agent phase stopping
         expect c1 nothing
         send disk free
         expect c1 STARTED a
