Figures in statsd form on show-stat: counted where each event happens, through a Tally

Built: core/tally.py (a null Tally the broker, fronts and routes call where each event happens), observe/figures.py (counters per class answered, deferred, errored, sends; gauges current, cluster_size, cluster_unhealthy; conf_loaded, conf_invalid), show-stat at the door. A test found a fault before landing: the class names came from a generator that the first figure used up. Tests: tests/test_figures.py holds each figure against calls the test counts; removing the count of answered, sends, ended, errored or a server's connection turns it red.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -43,6 +43,7 @@
 from frostport.net.operator import Door, Operation
 from frostport.net.peers import Peers, split
 from frostport.net.peers import listen as listen_peers
+from frostport.observe.figures import Figures
 
 if TYPE_CHECKING:  # both are loaded only where a store is set
     from frostport.durability import Durability
@@ -227,6 +228,9 @@
         self.rules = Rules(given, config.drain_grace_ms)
         self.broker = Broker(Controller(given, config.seed), self.rules, self.clock, self.deadlines,
                              PROBE_TIMEOUT_MS, contracts.Budgets(config.contracts))
+        self.figures = Figures(kind.name for kind in given.classes)
+        self.figures.loaded(True)
+        self.broker.tally = self.figures
         self.gate = Gate(config.admission, Descriptors(config.sockets, config.sockets
                                                        - config.admission.connections))
         self.pump = Pump(reactor, self.clock, self.deadlines)
@@ -312,10 +316,13 @@
             new = within_the_process(configuration.load(self.path))
         except ConfigError as problem:
             log.error("reload: configuration kept: %s", problem)
+            self.figures.loaded(False)
             return
         except Exception:  # guards the calls that are open against a file that breaks its reader
             log.exception("reload: configuration kept")
+            self.figures.loaded(False)
             return
+        self.figures.loaded(True)
         old, names = self.config, [item.name for item in dataclasses.fields(Config)]
         changed = [name for name in names if name not in PAST and getattr(old, name) != getattr(new, name)]
         fixed = [name for name in changed if name not in LIVE]
@@ -347,7 +354,10 @@
     # The operators' door
 
     def operations(self) -> dict[str, Operation]:
-        return {"ready": self.ready, "drain": self.drain, "resume": self.resume}
+        return {"ready": self.ready, "drain": self.drain, "resume": self.resume, "show-stat": self.show_stat}
+
+    def show_stat(self, _: str) -> list[str]:
+        return [*self.figures.lines(), "END"]
 
     def ready(self, _: str) -> list[str]:
         phase = self.lifecycle.phase
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -20,6 +20,7 @@
 from frostport.core.recorder import Recorder
 from frostport.core.rules import UNCLEAN, Rules
 from frostport.core.slots import Slots
+from frostport.core.tally import Tally
 from frostport.interface import Outcome
 
 log = logging.getLogger("frostport.broker")
@@ -62,6 +63,7 @@
         self.module, self.rules, self.clock, self.deadlines = module, rules, clock, deadlines
         self.probe_timeout_ms, self.budgets = probe_timeout_ms, budgets or Budgets()
         self.recorder = Recorder()
+        self.tally = Tally()  # the figures
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.route: Route | None = None
         self.requests: Slots[Request] = Slots()
@@ -87,6 +89,7 @@
         self.by_id[request.id] = request.slot
         _, request.not_before = self.ended_ids.pop(request.id, (0.0, 0.0))
         self.open += 1
+        self.tally.taken()
         now = self.clock.now()
         request.end_at = now + self.budgets.deadline_ms(request.call_class, request.end_at - now)
         wait = self.budgets.wait_ms(request.team, request.call_class, now)
@@ -155,6 +158,7 @@
             return
         self._stop(attempt)
         self._answered(request)
+        self.tally.answered(request.call_class)
         request.state, request.stood_at = State.STANDING, now
         request.answer = "stands"
         request.answer_body = description if isinstance(description, bytes) else None
@@ -181,6 +185,7 @@
         request = attempt.request
         if request.attempt is attempt and request.state is State.OPEN:
             request.answer = "failed"
+            self.tally.errored(request.call_class)
             self._close(request)
             self.recorder.answered(request, "", lambda: request.front.failed(request))
             self._end(attempt, Outcome.RESET, report=report)
@@ -220,11 +225,15 @@
         `dials`: the servers' addresses, where the list tells them."""
         servers = tuple(servers)
         removed = self.rules.listed(kind, servers, self.clock.now())
+        self.tally.listed(len(self.rules.servers))
+        for server in servers:
+            self.tally.avoided(server.address, "list", server.state is not api.Lifecycle.READY)
         for server in servers:
             if (told := self.rules.servers.get(server.address)) is not None:
                 self.recorder.listed(server, (dials or {}).get(server.address, ""), told.stop_at)
         for address in removed:
             self.recorder.unlisted(address)
+            self.tally.unlisted(address)
         self._feed(api.ListUpdate(kind, version, servers))
         return removed
 
@@ -381,9 +390,11 @@
 
     def _refuse(self, request: Request, stay_away_ms: float) -> None:
         request.back_ms = stay_away_ms
+        self.tally.deferred(request.call_class)
         self._give_final(request, "refused", lambda: request.front.refused(request, stay_away_ms))
 
     def _fail(self, request: Request) -> None:
+        self.tally.errored(request.call_class)
         self._give_final(request, "failed", lambda: request.front.failed(request))
 
     def _give_final(self, request: Request, answer: str, say: Callable[[], None]) -> None:
@@ -398,6 +409,7 @@
 
     def _answered(self, request: Request) -> None:
         self.open -= 1
+        self.tally.ended()
         if request.overdue is not None:
             request.overdue.cancel()
         if not self.open:
--- /dev/null
+++ b/frostport/core/tally.py
@@ -0,0 +1,40 @@
+"""What the core tells of each event that the figures count: by default nobody listens.
+
+The broker, the fronts and the routes call these where the event happens; `observe/figures.py` counts.
+"""
+
+from __future__ import annotations
+
+
+class Tally:
+    """Counts nothing."""
+
+    def taken(self) -> None:
+        """A request is taken."""
+
+    def ended(self) -> None:
+        """A taken request has its final answer, or its client has gone."""
+
+    def answered(self, call_class: str) -> None:
+        """A request is served: its call stands."""
+
+    def deferred(self, call_class: str) -> None:
+        """A request is refused."""
+
+    def errored(self, call_class: str) -> None:
+        """A request has failed."""
+
+    def sent(self, call_class: str) -> None:
+        """An attempt is written in full to a server."""
+
+    def listed(self, size: int) -> None:
+        """The server list has this many servers now."""
+
+    def avoided(self, server: str, reason: str, avoided: bool) -> None:
+        """A listed server is avoided for this reason from now on, or no longer."""
+
+    def unlisted(self, server: str) -> None:
+        """A server has left the list."""
+
+    def loaded(self, valid: bool) -> None:
+        """The configuration was read: valid and in force, or not."""
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -143,9 +143,11 @@
             link.reply(message, avp.INVALID_AVP_VALUE, error="no such service", failed=context.encode())
             return
         if not self.lifecycle.takes():
+            self.broker.tally.deferred(cls.name)
             self._answer(link, message, avp.TOO_BUSY, [], "going down")
             return
         if self.broker.open >= OPEN_MOST:
+            self.broker.tally.deferred(cls.name)
             self._answer(link, message, avp.TOO_BUSY, [], "too many set-ups open")
             return
         wait = message.get(avp.MAXIMUM_WAIT_TIME)
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -195,6 +195,7 @@
             make(avp.SERVICE_CONTEXT_ID, f"{request.call_class}@{self.identity.realm}"),
             make(avp.MAXIMUM_WAIT_TIME, left), *avp.read_avps(body)], avp.CREDIT_CONTROL)
         server.out[attempt.link] = attempt
+        self.broker.tally.sent(request.call_class)
 
     def _head(self, server: ServerPeer, call: str, kind: int, number: int) -> list[avp.Avp]:
         link = server.open()
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -265,10 +265,12 @@
             raise BadLineError("blob: no description, or one too long to go on")
         figures = set_up_figures(opts.get("extras", ""), broker.rules.pools[name])
         if not self.lifecycle.takes() or len(connection.open) >= OPEN_MOST:
+            broker.tally.deferred(name)
             connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             return
         team = opts.get("tenant", "-")
         if self.gate.limits.by_team and self.gate.identified(connection.seat, team) is not None:
+            broker.tally.deferred(name)
             connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             connection.hang_up()
             return
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -88,11 +88,12 @@
         self.drop()
         self.lobby.down(self)
 
-    def start(self, attempt: Attempt, line: bytes) -> None:
+    def start(self, attempt: Attempt, line: bytes) -> bool:
+        """Writes a set-up; whether it was written in full to the transport."""
         attempt.link = self.slot
         self.out[attempt.request.id] = attempt
         self.sent_in[attempt.request.id] = self.turns
-        self.write(line)
+        return self.write(line)
 
     def take(self, tag: str) -> Attempt | None:
         """The attempt that an answer is for, no longer out here; None if it is for none.
@@ -147,6 +148,7 @@
         """No connection: refused proves that the process is dead, silence proves nothing."""
         refused = isinstance(failure.value, ConnectionRefusedError)
         log.info("%s: no connection: %s", self.host, failure.type.__name__ if failure.type else failure.value)
+        self.broker.tally.avoided(self.host, "connection", True)
         waiting, self.waiting = self.waiting, []
         probes, self.probes = self.probes, []
         if self.connections:  # guards against dialing for each set-up a server that takes no more connections
@@ -176,6 +178,7 @@
             connection.drop()
             return
         log.info("%s: connected", self.host)
+        self.broker.tally.avoided(self.host, "connection", False)
         connection.opened_at = connection.heard_at = connection.reported_at = self.servers.clock.now()
         connection.slot = self.servers.connections.add(connection)
         self.connections.append(connection)
@@ -242,7 +245,8 @@
         if request.key:
             opts["key"] = request.key
         request.last_link = chosen.slot
-        chosen.start(attempt, Message("START", request.id, opts, blob=str(request.description)).encode())
+        if chosen.start(attempt, Message("START", request.id, opts, blob=str(request.description)).encode()):
+            self.broker.tally.sent(request.call_class)
 
     def give_up(self, attempt: Attempt) -> None:
         if attempt in self.waiting:
--- /dev/null
+++ b/frostport/observe/figures.py
@@ -0,0 +1,78 @@
+"""The figures of one process, as statsd text with the prefix `app`.
+
+Each figure is counted where its event happens (see `core/tally.py`), from 0 at the start; nothing is
+recomputed from the broker's tables when the figures are asked for. Per class `answered`, `deferred`,
+`errored`, `sends` (counters); `current`, `cluster_size`, `cluster_unhealthy` (gauges); `conf_loaded`,
+`conf_invalid` (counters).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from frostport.core.tally import Tally
+
+PREFIX = "app"
+PER_CLASS = ("answered", "deferred", "errored", "sends")
+
+
+class Figures(Tally):
+    """Counters and gauges, kept as the events come."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        classes = list(classes)
+        self.counts: dict[str, dict[str, int]] = {name: dict.fromkeys(classes, 0) for name in PER_CLASS}
+        self.current = 0
+        self.cluster_size = 0
+        self.avoiding: dict[str, set[str]] = {}  # listed servers avoided now, with the reasons
+        self.conf_loaded = 0
+        self.conf_invalid = 0
+
+    def _count(self, name: str, call_class: str) -> None:
+        counts = self.counts[name]
+        counts[call_class] = counts.get(call_class, 0) + 1
+
+    def taken(self) -> None:
+        self.current += 1
+
+    def ended(self) -> None:
+        self.current -= 1
+
+    def answered(self, call_class: str) -> None:
+        self._count("answered", call_class)
+
+    def deferred(self, call_class: str) -> None:
+        self._count("deferred", call_class)
+
+    def errored(self, call_class: str) -> None:
+        self._count("errored", call_class)
+
+    def sent(self, call_class: str) -> None:
+        self._count("sends", call_class)
+
+    def listed(self, size: int) -> None:
+        self.cluster_size = size
+
+    def avoided(self, server: str, reason: str, avoided: bool) -> None:
+        reasons = self.avoiding.setdefault(server, set())
+        (reasons.add if avoided else reasons.discard)(reason)
+        if not reasons:
+            del self.avoiding[server]
+
+    def unlisted(self, server: str) -> None:
+        self.avoiding.pop(server, None)
+
+    def loaded(self, valid: bool) -> None:
+        if valid:
+            self.conf_loaded += 1
+        else:
+            self.conf_invalid += 1
+
+    def lines(self) -> list[str]:
+        """The figures in statsd text, one a line."""
+        said = [f"{PREFIX}.{name}.{call_class}:{count}|c"
+                for name, counts in self.counts.items() for call_class, count in sorted(counts.items())]
+        said += [f"{PREFIX}.current:{max(0, self.current)}|g", f"{PREFIX}.cluster_size:{self.cluster_size}|g",
+                 f"{PREFIX}.cluster_unhealthy:{len(self.avoiding)}|g",
+                 f"{PREFIX}.conf_loaded:{self.conf_loaded}|c", f"{PREFIX}.conf_invalid:{self.conf_invalid}|c"]
+        return said
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,90 @@
+"""The figures against calls that the test counts itself, on a set clock; no bench."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from frostport.observe.figures import Figures
+from tests.scenario import World, event, host, lines, platform
+
+
+def figures(world: World) -> dict[str, int]:
+    said = world.ask("show-stat").split("\n")
+    assert said[-2:] == ["END", ""], said
+    found = {}
+    for line in said[:-2]:
+        name, _, rest = line.partition(":")
+        value, _, kind = rest.partition("|")
+        assert name.startswith("app.") and kind in ("c", "g"), line
+        found[name.removeprefix("app.")] = int(value)
+    return found
+
+
+def played(script: str, **more: Any) -> World:
+    world = World({**platform(), "operator": "10.0.9.1:3", **more})
+    for _, line in lines(script):
+        world.step(line)
+    return world
+
+
+def test_every_figure_starts_at_0_but_the_list_and_the_load() -> None:
+    assert figures(played("")) == {
+        "answered.race": 0, "deferred.race": 0, "errored.race": 0, "sends.race": 0, "current": 0,
+        "cluster_size": 2, "cluster_unhealthy": 0, "conf_loaded": 1, "conf_invalid": 0}
+
+
+def test_each_figure_counts_its_event() -> None:
+    world = played("""
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 START a
+        send c1 START b class=race left=300 extras=dest:1
+        expect s1 START b
+    """)
+    assert figures(world)["current"] == 2 and figures(world)["sends.race"] == 2
+    for _, line in lines("""
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        wait 400
+        expect c1 FINISH b rc=41
+    """):
+        world.step(line)
+    seen = figures(world)
+    assert (seen["answered.race"], seen["errored.race"], seen["current"]) == (1, 1, 0)
+    for _, line in lines(f"""
+        send bus {event(2, host(0, "draining"))}
+        send agent term
+        wait 1000
+        send c1 START c class=race left=2000 extras=dest:1
+        expect c1 FINISH c rc=42
+    """):
+        world.step(line)
+    seen = figures(world)
+    assert (seen["deferred.race"], seen["cluster_unhealthy"], seen["cluster_size"]) == (1, 1, 2)
+
+
+def test_a_server_without_connection_is_avoided_until_it_has_one() -> None:
+    world = played("""
+        close s0 dead
+        send c1 START a class=race left=3000 extras=dest:0
+    """)
+    assert figures(world)["cluster_unhealthy"] == 1
+    world.actors["s0"].state = "alive"
+    world.wait(2000)
+    world.step("send c1 START b class=race left=3000 extras=dest:0")
+    world.step("expect s0 START b")
+    assert figures(world)["cluster_unhealthy"] == 0
+
+
+def test_loads_count_valid_and_invalid_files() -> None:
+    world = played("""
+        send agent hup nothing-but-words
+        send agent hup bus="10.0.1.2:1"
+    """)
+    seen = figures(world)
+    assert (seen["conf_loaded"], seen["conf_invalid"]) == (2, 1)
+
+
+def test_a_class_that_no_setting_names_is_counted_as_it_comes() -> None:
+    made = Figures(["race"])
+    made.deferred("other")
+    assert "app.deferred.other:1|c" in made.lines() and "app.deferred.race:0|c" in made.lines()
