--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -279,6 +279,10 @@
             self.durability.resume(self)
         if self.inherited is not None:
             # An upgrade: the platform holds the socket, and the process before this one still accepts on it.
+            # Guards the reactor against an accept that waits: the platform hands the socket over blocking,
+            # and Twisted accepts until none is left (and two processes race for each connection).
+            os.set_blocking(self.inherited, False)
+            os.set_inheritable(self.inherited, False)
             self.listener = self.reactor.adoptStreamPort(self.inherited, socket.AF_INET, self.side.factory())
             os.close(self.inherited)  # the port has a copy of its own
         else:
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -176,3 +176,66 @@
         finally:
             program.kill()
             program.wait()
+
+
+def test_an_upgrade_on_an_inherited_blocking_socket(tmp_path: pathlib.Path) -> None:
+    """Two real processes on the socket that the platform holds: both serve, the old one ends on SIGTERM."""
+    with socket.socket() as lobby, socket.socket() as held:
+        lobby.bind(("127.0.0.1", 0))
+        lobby.listen()
+        held.bind(("127.0.0.1", 0))
+        held.listen(64)
+        held.setblocking(True)  # as the platform hands it over
+        listen = held.getsockname()
+        first = json.loads(event(1, {**host(0), "dial": f"127.0.0.1:{lobby.getsockname()[1]}"}, whole=True))
+        record = platform()
+        del record["bus"], record["peer_listen"]
+        record.update(listen=f"{listen[0]}:{listen[1]}", known={"offset": 1, "batch": [first]})
+        (tmp_path / "config.json").write_text(json.dumps(record), encoding="utf-8")
+        doors, programs = [], []
+        for _ in range(2):
+            with socket.socket() as free:
+                free.bind(("127.0.0.1", 0))
+                doors.append(free.getsockname()[1])
+        try:
+            for door in doors:
+                environment = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"),
+                               "PROXY_LISTEN_FD": "5", "PROXY_OPERATOR": f"127.0.0.1:{door}"}
+                programs.append(subprocess.Popen([sys.executable, "-c", AT_5, str(held.fileno())],
+                                                 env=environment, pass_fds=(held.fileno(),)))
+                assert ask(door, b"ready") == b"OK yes\n"
+            lobby.settimeout(60)
+            servers: list[socket.socket] = []
+            for number in range(6):  # the kernel hands each connection to one of the two
+                client = socket.create_connection(listen, timeout=60)
+                client.sendall(b'{"verb":"START","tag":"%016x","opts":{"class":"race","left":8000},"blob":"x"}\n'
+                               % (number + 1))
+                if not servers:
+                    servers.append(lobby.accept()[0])
+                client.close()
+            programs[0].send_signal(signal.SIGTERM)
+            assert programs[0].wait(timeout=60) == 0
+            assert ask(doors[1], b"ready") == b"OK yes\n"
+            assert programs[1].poll() is None
+        finally:
+            for program in programs:
+                program.kill()
+                program.wait()
+
+
+AT_5 = ("import os, sys; os.dup2(int(sys.argv[1]), 5); "
+        "os.execv(sys.executable, [sys.executable, '-m', 'frostport'])")  # the socket as descriptor 5
+
+
+def ask(door: int, line: bytes) -> bytes:
+    """One call at a program's door, once it listens."""
+    for _ in range(600):
+        try:
+            with socket.create_connection(("127.0.0.1", door), timeout=60) as caller:
+                caller.sendall(line + b"\n")
+                return caller.makefile("rb").readline()
+        except ConnectionRefusedError:
+            import time
+
+            time.sleep(0.1)
+    raise TimeoutError("the door does not listen")
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -149,6 +149,7 @@
         self.held = socket.socket()
         self.held.bind(("127.0.0.1", 0))
         self.held.listen()
+        self.held.setblocking(True)  # as the platform hands it over
         agent.inherited = os.dup(self.held.fileno())
         return agent
 
@@ -194,6 +195,7 @@
 def test_handover(name: str) -> None:
     world: Any = play(HANDOVER[name], with_door(), Upgraded)
     assert world.reactor.adopted is not None
+    assert not os.get_blocking(world.held.fileno())  # the same open socket: Twisted's accept must not wait
     assert world.reactor.factory is None  # the old one stopped listening
     world.held.close()
 
