--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -325,3 +325,13 @@
         listen(SelectReactor(), address, Peers(broker, []))
         ports.append(address)
     assert len(ports) == 2
+
+
+def test_the_schema_knows_the_door() -> None:
+    import jsonschema
+
+    from tests.test_admission import SCHEMA
+
+    jsonschema.validate(with_door(), SCHEMA)
+    with pytest.raises(jsonschema.ValidationError):
+        jsonschema.validate(with_door(operator="nowhere"), SCHEMA)
