disable-server and enable-server at the door; current counts a request until it ends

ID by name or dial address, bare or as JSON. Door calls other than ready and show-stat are logged. Current now falls where the request's slot is freed (broker._close). The test held the wrong meaning and now asserts a standing call counts until its release; the old placement turns it red.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -40,7 +40,7 @@
 from frostport.net.bus import BusConnection, EventBus, ServerList
 from frostport.net.front import PlatformFront
 from frostport.net.lobby import LobbyServers
-from frostport.net.operator import Door, Operation
+from frostport.net.operator import Door, Operation, OperatorError, argument
 from frostport.net.peers import Peers, split
 from frostport.net.peers import listen as listen_peers
 from frostport.observe.figures import Figures
@@ -358,7 +358,22 @@
     # The operators' door
 
     def operations(self) -> dict[str, Operation]:
-        return {"ready": self.ready, "drain": self.drain, "resume": self.resume, "show-stat": self.show_stat}
+        return {"ready": self.ready, "drain": self.drain, "resume": self.resume, "show-stat": self.show_stat,
+                "disable-server": self.disable_server, "enable-server": self.enable_server}
+
+    def disable_server(self, rest: str) -> list[str]:
+        name = argument(rest)
+        address = self.broker.take_out(name)
+        if address is None:
+            raise OperatorError(f"unknown server {name[:60]!r}")
+        return [f"OK {address} out of rotation"]
+
+    def enable_server(self, rest: str) -> list[str]:
+        name = argument(rest)
+        address = self.broker.put_back(name)
+        if address is None:
+            raise OperatorError(f"unknown server {name[:60]!r}")
+        return [f"OK {address} in rotation"]
 
     def show_stat(self, _: str) -> list[str]:
         return [*self.figures.lines(), "END"]
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -18,6 +18,7 @@
 from frostport.core.contracts import Budgets
 from frostport.core.deadlines import Deadlines
 from frostport.core.recorder import Recorder
+from frostport.core.rotation import Rotation
 from frostport.core.rules import UNCLEAN, Rules
 from frostport.core.slots import Slots
 from frostport.core.tally import Tally
@@ -64,6 +65,7 @@
         self.probe_timeout_ms, self.budgets = probe_timeout_ms, budgets or Budgets()
         self.recorder = Recorder()
         self.tally = Tally()  # the figures
+        self.rotation = Rotation()  # servers that operators took out
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.route: Route | None = None
         self.requests: Slots[Request] = Slots()
@@ -224,7 +226,10 @@
 
         `dials`: the servers' addresses, where the list tells them."""
         servers = tuple(servers)
+        self.rotation.listed(servers, dials or {}, ())
+        servers = tuple(self.rotation.shown(server) for server in servers)
         removed = self.rules.listed(kind, servers, self.clock.now())
+        self.rotation.listed((), {}, removed)
         self.tally.listed(len(self.rules.servers))
         for server in servers:
             self.tally.avoided(server.address, "list", server.state is not api.Lifecycle.READY)
@@ -237,6 +242,31 @@
         self._feed(api.ListUpdate(kind, version, servers))
         return removed
 
+    def take_out(self, name: str) -> str | None:
+        """An operator takes a listed server out of rotation: the module sees it drain. Returns the server's
+        name, or None where none is listed by that name or dial address; twice changes nothing."""
+        address = self.rotation.find(name)
+        if address is None:
+            return None
+        record = self.rotation.hold(address)
+        if record is not None:
+            self.rules.listed(api.ListKind.CHANGES, (record,), self.clock.now())
+            self.tally.avoided(address, "operator", True)
+            self._feed(api.ListUpdate(api.ListKind.CHANGES, 0, (record,)))
+        return address
+
+    def put_back(self, name: str) -> str | None:
+        """The server is in rotation again, as the list last said of it."""
+        address = self.rotation.find(name)
+        if address is None:
+            return None
+        record = self.rotation.release(address)
+        if record is not None:
+            self.rules.listed(api.ListKind.CHANGES, (record,), self.clock.now())
+            self.tally.avoided(address, "operator", False)
+            self._feed(api.ListUpdate(api.ListKind.CHANGES, 0, (record,)))
+        return address
+
     def told(self, sender: int, data: bytes) -> None:
         """A message from another call agent."""
         self._feed(api.PeerMessage(sender, data))
@@ -409,7 +439,6 @@
 
     def _answered(self, request: Request) -> None:
         self.open -= 1
-        self.tally.ended()
         if request.overdue is not None:
             request.overdue.cancel()
         if not self.open:
@@ -421,6 +450,7 @@
             request.state = State.OVER
             self._answered(request)
         request.state = State.OVER
+        self.tally.ended()  # a call that stood ends here too: it was current until then
         self.requests.free(request.slot)
         del self.by_id[request.id]
         self._remember(request.id, request.not_before)
--- a/frostport/core/tally.py
+++ b/frostport/core/tally.py
@@ -13,7 +13,7 @@
         """A request is taken."""
 
     def ended(self) -> None:
-        """A taken request has its final answer, or its client has gone."""
+        """A taken request has ended: refused, failed, gone, or released after it stood."""
 
     def answered(self, call_class: str) -> None:
         """A request is served: its call stands."""
--- a/frostport/net/operator.py
+++ b/frostport/net/operator.py
@@ -67,12 +67,15 @@
     if operation is None:
         return [f"ERR unknown call {name[:40]!r}; calls: {' '.join(sorted(operations))}"]
     try:
-        return list(operation(rest))
+        said = list(operation(rest))
     except OperatorError as problem:
-        return [f"ERR {problem}"]
+        said = [f"ERR {problem}"]
     except Exception:  # a fault in one call costs that call, not the door
         log.exception("operator call %s failed", name)
-        return ["ERR failed"]
+        said = ["ERR failed"]
+    if name not in ("show-stat", "ready"):  # those come ten times a second
+        log.info("operator: %s %s: %s", name, rest[:80], said[0] if said else "")
+    return said
 
 
 class DoorConnection(protocol.Protocol):
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -49,7 +49,10 @@
     """):
         world.step(line)
     seen = figures(world)
-    assert (seen["answered.race"], seen["errored.race"], seen["current"]) == (1, 1, 0)
+    assert (seen["answered.race"], seen["errored.race"], seen["current"]) == (1, 1, 1)  # a stands: current
+    world.step("send c1 FINISH a rc=16")
+    world.step("expect s0 FINISH a")
+    assert figures(world)["current"] == 0
     for _, line in lines(f"""
         send bus {event(2, host(0, "draining"))}
         send agent term
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -14,7 +14,7 @@
 from frostport.core.deadlines import Deadlines
 from frostport.net import operator
 from frostport.net.operator import LONGEST_LINE, MOST_OPEN, SAY_WITHIN_MS, Door, Operation, OperatorError
-from tests.scenario import World, platform, play
+from tests.scenario import World, event, host, platform, play
 
 SET_UP = """
     send c1 START a class=race left=3000 extras=dest:0
@@ -335,3 +335,39 @@
     jsonschema.validate(with_door(), SCHEMA)
     with pytest.raises(jsonschema.ValidationError):
         jsonschema.validate(with_door(operator="nowhere"), SCHEMA)
+
+
+ROTATION = {
+    "a server taken out gets nothing new after the grace, and calls again once put back": f"""
+        door disable-server h0 => OK h0 out of rotation
+        door disable-server {{"id": "10.0.0.1:1"}} => OK h0 out of rotation
+        wait 2100
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s1 START a
+        send bus {event(2, host(0))}
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s1 START b
+        door enable-server h0 => OK h0 in rotation
+        send c1 START c class=race left=3000 extras=dest:0
+        expect s0 START c
+    """,
+    "unknown or missing servers are errors": """
+        door disable-server h9 => ERR unknown server 'h9'
+        door enable-server => ERR no id
+        door enable-server h1 => OK h1 in rotation
+    """,
+}
+
+
+@pytest.mark.parametrize("name", ROTATION)
+def test_rotation(name: str) -> None:
+    play(ROTATION[name], with_door())
+
+
+def test_a_server_out_of_rotation_is_unhealthy() -> None:
+    from tests.test_figures import figures, played
+
+    world = played("door disable-server h1 => OK")
+    assert figures(world)["cluster_unhealthy"] == 1
+    world.step("door enable-server h1 => OK")
+    assert figures(world)["cluster_unhealthy"] == 0
