One rotate step for disable and enable-server; drain and handover empty connections once

Reading the change again: Broker.take_out and put_back, and Agent.disable_server and enable_server, were copies differing in one word; now Broker.rotate(name, out) and Agent._rotate. Entering draining or handing over called front.empty() and then _emptied(), which calls it first again: the explicit call is gone, the order of what happens is the same. Rotation.listed was called twice with empty arguments to add and to remove; the removal is Rotation.unlisted, called in the broker's loop over removed servers beside the recorder and the tally.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -362,18 +362,17 @@
                 "disable-server": self.disable_server, "enable-server": self.enable_server}
 
     def disable_server(self, rest: str) -> list[str]:
-        name = argument(rest)
-        address = self.broker.take_out(name)
-        if address is None:
-            raise OperatorError(f"unknown server {name[:60]!r}")
-        return [f"OK {address} out of rotation"]
+        return self._rotate(rest, True, "out of rotation")
 
     def enable_server(self, rest: str) -> list[str]:
+        return self._rotate(rest, False, "in rotation")
+
+    def _rotate(self, rest: str, out: bool, said: str) -> list[str]:
         name = argument(rest)
-        address = self.broker.put_back(name)
+        address = self.broker.rotate(name, out)
         if address is None:
             raise OperatorError(f"unknown server {name[:60]!r}")
-        return [f"OK {address} in rotation"]
+        return [f"OK {address} {said}"]
 
     def show_stat(self, _: str) -> list[str]:
         return [*self.figures.lines(), "END"]
@@ -430,7 +429,6 @@
                 self.deadlines.set(now + CLOSING_MS, lambda: self.lifecycle.enter(Phase.STOPPING))
                 self._end = self.deadlines.set(now + LAST_ANSWER_MS, self.broker.fail_all)
             case Phase.DRAINING:
-                self.side.front.empty()
                 self._emptied()
             case Phase.HANDING_OVER:
                 self._stop_listening()
@@ -438,7 +436,6 @@
                 longest = max((kind.deadline_ms for kind in self.config.settings.classes), default=0.0)
                 self._end = self.deadlines.set(
                     now + min(longest, HANDOVER_MOST_MS) - HANDOVER_SPARE_MS, self._hand_over_ends)
-                self.side.front.empty()
                 self._emptied()
             case Phase.STOPPING:
                 self._stop_listening()
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -226,10 +226,9 @@
 
         `dials`: the servers' addresses, where the list tells them."""
         servers = tuple(servers)
-        self.rotation.listed(servers, dials or {}, ())
+        self.rotation.listed(servers, dials or {})
         servers = tuple(self.rotation.shown(server) for server in servers)
         removed = self.rules.listed(kind, servers, self.clock.now())
-        self.rotation.listed((), {}, removed)
         self.tally.listed(len(self.rules.servers))
         for server in servers:
             self.tally.avoided(server.address, "list", server.state is not api.Lifecycle.READY)
@@ -238,32 +237,22 @@
                 self.recorder.listed(server, (dials or {}).get(server.address, ""), told.stop_at)
         for address in removed:
             self.recorder.unlisted(address)
+            self.rotation.unlisted(address)
             self.tally.unlisted(address)
         self._feed(api.ListUpdate(kind, version, servers))
         return removed
 
-    def take_out(self, name: str) -> str | None:
-        """An operator takes a listed server out of rotation: the module sees it drain. Returns the server's
-        name, or None where none is listed by that name or dial address; twice changes nothing."""
+    def rotate(self, name: str, out: bool) -> str | None:
+        """An operator takes a listed server out of rotation (the module sees it drain), or puts it back as
+        the list last said of it. Returns the server's name, or None where none is listed by that name or
+        dial address; saying it twice changes nothing."""
         address = self.rotation.find(name)
         if address is None:
             return None
-        record = self.rotation.hold(address)
+        record = self.rotation.hold(address) if out else self.rotation.release(address)
         if record is not None:
             self.rules.listed(api.ListKind.CHANGES, (record,), self.clock.now())
-            self.tally.avoided(address, "operator", True)
-            self._feed(api.ListUpdate(api.ListKind.CHANGES, 0, (record,)))
-        return address
-
-    def put_back(self, name: str) -> str | None:
-        """The server is in rotation again, as the list last said of it."""
-        address = self.rotation.find(name)
-        if address is None:
-            return None
-        record = self.rotation.release(address)
-        if record is not None:
-            self.rules.listed(api.ListKind.CHANGES, (record,), self.clock.now())
-            self.tally.avoided(address, "operator", False)
+            self.tally.avoided(address, "operator", out)
             self._feed(api.ListUpdate(api.ListKind.CHANGES, 0, (record,)))
         return address
 
--- a/frostport/core/rotation.py
+++ b/frostport/core/rotation.py
@@ -28,14 +28,15 @@
         found = (address for address, dial in self.dials.items() if dial == name and address in self.last)
         return next(found, None)
 
-    def listed(self, servers: Iterable[api.Server], dials: Mapping[str, str], gone: Iterable[str]) -> None:
+    def listed(self, servers: Iterable[api.Server], dials: Mapping[str, str]) -> None:
         for server in servers:
             self.last[server.address] = server
         self.dials.update(dials)
-        for address in gone:
-            self.last.pop(address, None)
-            self.dials.pop(address, None)
-            self.held.discard(address)
+
+    def unlisted(self, address: str) -> None:
+        self.last.pop(address, None)
+        self.dials.pop(address, None)
+        self.held.discard(address)
 
     def shown(self, server: api.Server) -> api.Server:
         """A record as the module is to see it."""
