Work on machines: an agent that goes out turns away what still comes, after drain_ms at the latest

Need: a client that never pauses kept an agent's ticket going for ever, and a drained agent served whoever still came, also once its machine might be touched. Seen in the explorer with calls let into a drained agent: W4 broke at once. Ruled out: closing the listening socket (the platform holds it on an upgrade, and resume would have to bind anew); leaving connections to end by themselves (a client that never pauses has none that does). The change: a phase turning away, reached from draining after the limit drain_ms (30 s, a word of work-limits) or from drained; new set-ups are refused, and done is said only there, once the agent is empty. The explorer lets calls into draining and drained agents and lets patience end; a planted fault (an agent out that serves) is caught.

--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from frostport.maintenance.keeper import Drain, HoldOut, Keeper, Local, Member, PutBack, Resume, Say
+from frostport.maintenance.keeper import Drain, HoldOut, Keeper, Local, Member, PutBack, Resume, Say, TurnAway
 from frostport.maintenance.plan import Plan, State
 from frostport.maintenance.words import Limits, Ready, Request, Server, Word
 
@@ -68,7 +68,7 @@
         self.at(SLOW_LOOK_MS if calm else LOOK_MS, lambda: self.turn(name))
         keeper = self.keepers[name]
         busy = {server: int(self.empty_at.get((name, server), 0.0) > self.now) for server in keeper.holding}
-        local = Local(name == "a0", 1, True, self.phase[name], 5.0, busy, frozenset(), frozenset(),
+        local = Local(name == "a0", 1, True, self.phase[name], True, 5.0, busy, frozenset(), frozenset(),
                       self.seen() if name == "a0" else {}, self.servers)
         for action in keeper.look(self.plan, local, self.now):
             match action:
@@ -77,6 +77,8 @@
                 case Drain():
                     self.phase[name] = "draining"
                     self.at(self.chance.uniform(0.0, AGENT_MS), lambda: self.phase.update({name: "drained"}))
+                case TurnAway():
+                    self.phase[name] = "turning away"
                 case Resume():
                     self.phase[name] = "serving"
                 case HoldOut(server):
--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -228,15 +228,19 @@
         elif self.lifecycle.may(Phase.CLOSING):
             self.lifecycle.enter(Phase.CLOSING)
 
+    def empty(self) -> bool:
+        """No client connection and no request is left."""
+        return not self.side.front.held() and not self.broker.open
+
     def _emptied(self) -> None:
-        """A drain is over once no client connection and no request is left; a handover ends then."""
+        """A drain is over once the agent is empty; a handover ends then."""
         self.side.front.empty()  # guards against a connection whose last call ended without a word on it
-        phase, empty = self.lifecycle.phase, not self.side.front.held() and not self.broker.open
+        phase, empty = self.lifecycle.phase, self.empty()
         if phase is Phase.DRAINING and empty:
             self.lifecycle.enter(Phase.DRAINED)
         elif phase is Phase.HANDING_OVER and empty:
             self.lifecycle.enter(Phase.STOPPING)
-        elif phase in (Phase.DRAINING, Phase.HANDING_OVER):
+        elif phase in (Phase.DRAINING, Phase.HANDING_OVER) or (phase is Phase.TURNING_AWAY and not empty):
             self.deadlines.set(self.clock.now() + EMPTIED_MS, self._emptied)
 
     def _stop_listening(self) -> None:
@@ -259,7 +263,7 @@
                 log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
                 self.deadlines.set(now + CLOSING_MS, lambda: self.lifecycle.enter(Phase.STOPPING))
                 self._end = self.deadlines.set(now + LAST_ANSWER_MS, self.broker.fail_all)
-            case Phase.DRAINING:
+            case Phase.DRAINING | Phase.TURNING_AWAY:
                 self._emptied()
             case Phase.HANDING_OVER:
                 self._stop_listening()
--- a/frostport/core/lifecycle.py
+++ b/frostport/core/lifecycle.py
@@ -21,6 +21,8 @@
     DRAINING = "draining"  # told to drain: ready says no; what comes on open connections is served, each
     # connection closes once it holds nothing
     DRAINED = "drained"  # no client connection and no request is left; resume brings serving back
+    TURNING_AWAY = "turning away"  # going out for work: new set-ups are refused, also on a connection whose
+    # client never pauses; once nothing is left here, nothing can come any more
     HANDING_OVER = "handing over"  # a newer process serves on the same socket: this one takes no more, and
     # gives its store up once what it holds is answered
     CLOSING = "closing"  # told to end: what still comes is taken and served, tests fail
@@ -31,8 +33,9 @@
 NEXT = {
     Phase.STARTING: (Phase.SERVING, Phase.CLOSING, Phase.STOPPED),
     Phase.SERVING: (Phase.DRAINING, Phase.CLOSING, Phase.HANDING_OVER),
-    Phase.DRAINING: (Phase.SERVING, Phase.DRAINED, Phase.CLOSING, Phase.HANDING_OVER),
-    Phase.DRAINED: (Phase.SERVING, Phase.DRAINING, Phase.CLOSING, Phase.HANDING_OVER),
+    Phase.DRAINING: (Phase.SERVING, Phase.DRAINED, Phase.TURNING_AWAY, Phase.CLOSING, Phase.HANDING_OVER),
+    Phase.DRAINED: (Phase.SERVING, Phase.DRAINING, Phase.TURNING_AWAY, Phase.CLOSING, Phase.HANDING_OVER),
+    Phase.TURNING_AWAY: (Phase.SERVING, Phase.CLOSING, Phase.HANDING_OVER),
     Phase.HANDING_OVER: (Phase.STOPPING,),
     Phase.CLOSING: (Phase.STOPPING,),
     Phase.STOPPING: (Phase.STOPPED,),
@@ -40,7 +43,8 @@
 }
 READY = (Phase.SERVING,)  # where ready says yes
 TAKING = (Phase.SERVING, Phase.DRAINING, Phase.DRAINED, Phase.HANDING_OVER, Phase.CLOSING)  # requests taken
-EMPTYING = (Phase.DRAINING, Phase.DRAINED, Phase.HANDING_OVER, Phase.STOPPING)  # connections close once idle
+DRAINS = (Phase.DRAINING, Phase.DRAINED, Phase.TURNING_AWAY)  # from which resume brings serving back
+EMPTYING = (*DRAINS, Phase.HANDING_OVER, Phase.STOPPING)  # connections close once idle
 
 
 class Lifecycle:
--- a/frostport/maintenance/asking.py
+++ b/frostport/maintenance/asking.py
@@ -107,7 +107,7 @@
     at = plan.limits
     lines = [f"limits all={at.all} agents={at.agents} servers={at.servers} zone={at.zone} "
              f"agent_calls={at.agent_calls:g} share_calls={at.share_calls:g} margin={at.margin:g} "
-             f"warm_ms={at.warm_ms:g} overtakes={at.overtakes}"]
+             f"warm_ms={at.warm_ms:g} overtakes={at.overtakes} drain_ms={at.drain_ms:g}"]
     if plan.held:
         lines.append(f"held by {plan.held}")
     unasked = [name for name in plan.out() if plan.ticket(name) is None]
--- a/frostport/maintenance/keeper.py
+++ b/frostport/maintenance/keeper.py
@@ -40,6 +40,7 @@
     term: int = 0
     caught_up: bool = False  # the log is read here as far as the leader's was after the start
     phase: str = "serving"
+    empty: bool = False  # no client's connection and no request is left here
     calls: float = 0.0  # a second, of late
     busy: Mapping[str, int] = field(default_factory=dict)
     fresh: frozenset[str] = frozenset()
@@ -65,6 +66,11 @@
     """This agent goes out."""
 
 
+@dataclass(frozen=True, slots=True)
+class TurnAway:
+    """It goes out now: what still comes is refused."""
+
+
 @dataclass(frozen=True, slots=True)
 class Resume:
     """It is back."""
@@ -82,7 +88,7 @@
     server: str
 
 
-Action = Say | Serve | Drain | Resume | HoldOut | PutBack
+Action = Say | Serve | Drain | TurnAway | Resume | HoldOut | PutBack
 
 
 class Keeper:
@@ -98,6 +104,7 @@
         self.name, self.life, self.began, self.remembers = name, life, now_ms, remembers
         self.serving = False  # the start is over
         self.drained_by = 0  # the ticket that has this agent out
+        self.drained_at = now_ms  # since when
         self.holding: set[str] = set()
         self._said: dict[object, tuple[Word, float]] = {}
         self._load_at = self._ticked_at = -float("inf")
@@ -134,15 +141,19 @@
         ticket = plan.ticket(self.name)
         if ticket is not None and ticket.kind == AGENT and ticket.state in HELD_OUT:
             if self.drained_by != ticket.number or local.phase == "serving":
-                self.drained_by = ticket.number
+                self.drained_by, self.drained_at = ticket.number, now
                 if local.phase == "serving":
                     out.append(Drain())
-            if ticket.state is State.GOING and local.phase == "drained" \
+            elif local.phase == "drained" \
+                    or (local.phase == "draining" and now - self.drained_at >= plan.limits.drain_ms):
+                # Guards against a client that never pauses, and one that comes once it may be touched.
+                out.append(TurnAway())
+            if ticket.state is State.GOING and local.phase == "turning away" and local.empty \
                     and ticket.done.get(self.name) != self.life:
                 self._say(("done", self.name), Done(self.name, self.life, self.name, ticket.step), now, out)
         elif self.drained_by:
             self.drained_by = 0
-            if local.phase in ("draining", "drained"):
+            if local.phase in ("draining", "drained", "turning away"):
                 out.append(Resume())
 
     # Servers
--- a/frostport/maintenance/words.py
+++ b/frostport/maintenance/words.py
@@ -20,6 +20,7 @@
     margin: float = 0.2  # over the load measured
     warm_ms: float = 15_000.0  # from its return until the next may go
     overtakes: int = 3  # tickets of other requests that may pass one that has to wait
+    drain_ms: float = 30_000.0  # an agent that goes serves its clients' open connections on for so long
 
 
 class Request(msgspec.Struct, array_like=True, frozen=True, tag="request"):
--- a/frostport/operations.py
+++ b/frostport/operations.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from frostport.core.broker import Broker
-from frostport.core.lifecycle import Lifecycle, Phase
+from frostport.core.lifecycle import DRAINS, Lifecycle, Phase
 from frostport.net.operator import Operation, OperatorError, argument
 from frostport.observe.figures import Figures
 
@@ -45,7 +45,7 @@
 
     def drain(self, _: str) -> list[str]:
         phase = self.lifecycle.phase
-        if phase in (Phase.DRAINING, Phase.DRAINED):
+        if phase in DRAINS:
             return [f"OK {phase.value} already"]
         if not self.lifecycle.may(Phase.DRAINING):
             return [f"ERR not while {phase.value}"]
@@ -58,7 +58,7 @@
             return ["OK serving already"]
         if why := self.kept(""):
             return [f"ERR {why}"]
-        if phase not in (Phase.DRAINING, Phase.DRAINED):
+        if phase not in DRAINS:
             return [f"ERR not while {phase.value}"]
         self.lifecycle.enter(Phase.SERVING)
         return ["OK serving"]
--- a/frostport/work.py
+++ b/frostport/work.py
@@ -18,7 +18,18 @@
 from frostport.core.lifecycle import Lifecycle, Phase
 from frostport.interface import Lifecycle as Listing
 from frostport.maintenance import asking, words
-from frostport.maintenance.keeper import Drain, HoldOut, Keeper, Local, Member, PutBack, Resume, Say, Serve
+from frostport.maintenance.keeper import (
+    Drain,
+    HoldOut,
+    Keeper,
+    Local,
+    Member,
+    PutBack,
+    Resume,
+    Say,
+    Serve,
+    TurnAway,
+)
 from frostport.maintenance.plan import HELD_OUT, Plan, State
 from frostport.membership.messages import State as Seen
 from frostport.net.operator import Operation, OperatorError
@@ -30,6 +41,7 @@
 log = logging.getLogger("frostport.work")
 
 KIND = "work"
+PHASES: dict[type, Phase] = {Drain: Phase.DRAINING, TurnAway: Phase.TURNING_AWAY}
 LOOK_MS = 250.0  # between two looks; each word applied is looked at as well
 RATE_MS = 60_000.0  # over which the load is measured
 AGAIN_MS = 2000.0  # a read that nobody has answered is asked again
@@ -43,6 +55,8 @@
     figures: Figures
     clock: Clock
 
+    def empty(self) -> bool: ...
+
 
 def registered(machine: Machine, plan: Plan, apply: Callable[[Entry, Any], None]) -> None:
     machine.register(KIND, words.VERSION, words.Word, apply, plan.save, plan.restore)
@@ -134,8 +148,8 @@
                 if self.on_disk is None and self.fleet.raft.leader:  # else it would only pile up here
                     self._say(word)
                 return False
-            case Serve() | Resume() | Drain():
-                phase = Phase.DRAINING if isinstance(action, Drain) else Phase.SERVING
+            case Serve() | Resume() | Drain() | TurnAway():
+                phase = PHASES.get(type(action), Phase.SERVING)
                 if agent.lifecycle.may(phase):
                     agent.lifecycle.enter(phase)
             case HoldOut(server):
@@ -173,7 +187,7 @@
                 member.state is Seen.LEFT, member.name in fleet.raft.voters)
         return Local(
             fleet.raft.role is Role.LEADER, fleet.raft.term, self.on_disk is None,
-            agent.lifecycle.phase.value, self._rate(), busy,
+            agent.lifecycle.phase.value, agent.empty(), self._rate(), busy,
             frozenset(server for server in self.keeper.holding
                       if server in rules.servers and not rules.drained(server, now)),
             frozenset(server for server, reasons in agent.figures.avoiding.items()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -7,13 +7,25 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from frostport.maintenance import asking
-from frostport.maintenance.keeper import Drain, HoldOut, Keeper, Local, Member, PutBack, Resume, Say, Serve
+from frostport.maintenance.keeper import (
+    Drain,
+    HoldOut,
+    Keeper,
+    Local,
+    Member,
+    PutBack,
+    Resume,
+    Say,
+    Serve,
+    TurnAway,
+)
 from frostport.maintenance.plan import AWAY, ENDED, Machine, Plan, State, Ticket
 from frostport.maintenance.words import (
     AGENT,
@@ -173,7 +185,8 @@
             again = False
             read = node.applied >= node.must_read and not node.cut
             node.whole = node.whole or read
-            local = Local(node.name == leader, 1, read, node.phase, 1.0, node.busy,
+            local = Local(node.name == leader, 1, read, node.phase, not any(node.busy.values()),
+                          1.0, node.busy,
                           frozenset(), frozenset(), members, SERVERS)
             if node.keeper._load is not None:
                 node.keeper._load_at = 0.0
@@ -186,6 +199,8 @@
                         node.phase, again = "serving", True
                     case Drain():
                         node.phase, again = "draining" if any(node.busy.values()) else "drained", True
+                    case TurnAway():
+                        node.phase, again = "turning away", True
                     case Resume():
                         node.phase = "serving"
                     case HoldOut() | PutBack():
@@ -223,10 +238,13 @@
             for server in SERVERS:
                 if node.busy[server]:
                     yield "end", f"{name} {server}"
-            if self.calls and node.phase in ("serving", "draining") and node.phase == "serving":
+            # A client's connection to one that drains may carry calls on until it turns them away.
+            if self.calls and (node.phase in ("serving", "draining", "drained")):
                 for server in SERVERS:
                     if server not in node.keeper.holding:
                         yield "call", f"{name} {server}"
+            if node.phase == "draining" and node.keeper.drained_at >= 0.0:
+                yield "patience", name
             if self.deaths:
                 yield "kill", name
             if node.cut:
@@ -278,6 +296,9 @@
             case "alone" if node is not None:
                 node.keeper.began = -1e9
                 self.look(node)
+            case "patience" if node is not None:
+                node.keeper.drained_at = -1e9  # its drain has taken longer than `drain_ms`
+                self.look(node)
             case "arrive":
                 self.log.append(self.late.pop())
             case "tick":
@@ -304,13 +325,13 @@
             if ticket.kind == SERVER:
                 assert not other.busy[ticket.name], f"W3: {other.name} has a call at {ticket.name}"
             elif other.name == ticket.name:
-                assert other.phase != "serving" or not any(other.busy.values()), f"W4: {other.name} has calls"
+                assert not any(other.busy.values()), f"W4: {other.name} has calls"
 
     def key(self) -> bytes:
         return pickle.dumps((
             [(node.life, node.applied, node.alive, node.cut, node.phase, node.busy, node.must_read,
               sorted(node.keeper.holding), node.keeper.drained_by, node.keeper.serving, node.keeper.began < 0,
-              node.keeper.remembers, node.whole)
+              node.keeper.remembers, node.whole, node.keeper.drained_at)
              for node in self.nodes.values()], self.log, self.late, self.calls, self.deaths, self.cuts))
 
 
@@ -470,13 +491,21 @@
     return list(LOOK(keeper, plan, local, now))
 
 
+def drained_is_enough(keeper: Keeper, plan: Plan, local: Local, now: float) -> list[object]:
+    """An agent that may be touched serves whoever still comes."""
+    return [action for action in LOOK(keeper, plan, replace(
+        local, phase="turning away" if local.phase == "drained" else local.phase), now)
+        if not isinstance(action, TurnAway)]
+
+
 APPLY, WAITS_FOR, LOOK = Plan.apply, Plan.waits_for, Keeper.look
 PLANTED: dict[str, tuple[type, str, object]] = {
     "a confirmation counted across lives": (Plan, "apply", any_life),
     "a confirmation counted across steps": (Plan, "apply", any_step),
     "the dead not counted as out": (Plan, "out", only_tickets),
     "the silent taken for dead": (Plan, "waits_for", the_living),
-    "calls taken before the log is read": (Keeper, "look", at_once)}
+    "calls taken before the log is read": (Keeper, "look", at_once),
+    "an agent out that serves who comes": (Keeper, "look", drained_is_enough)}
 
 
 @pytest.mark.parametrize("name", PLANTED)
