Cold starts: turns for all dials, the server list by a few feeders a zone, ready in waves

Need: at a start or after an outage hundreds of agents dial the list service and every lobby server at once, redial at a fixed gap and ask for all they missed. Options rejected: a lease for the right to dial (needs a keeper that is up at a dark site); the agreed log (a majority has to be up first, and one entry a dial); a fixed random pause (nothing bounds what all of them do together). The change: startup/ decides without I/O: turns drawn from a window of agents / budget with full jitter, growing gaps and tokens; feeders by rendezvous hashing over the membership, the list passed on in numbered order with the age of the service's last word; ready once a list and servers that answer are there and a quarter of the fleet is able. core/dialing.py is the null object that bus and lobby servers ask; starting.py joins it all. Off without startup in the configuration.

--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -325,6 +325,8 @@
             await rig.until("all are known", all_up)
             await rig.ask(leader, "work-request names=n4,n3 takes=1h who=ann why=disks")
             await shows("n4 agent out")
+            leader = await rig.leader()  # it may have changed since
+            follower = next(name for name in rig.voters if name != leader)
             began = time.monotonic()
             match kind:
                 case "leader killed, then work-ready":
--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -44,6 +44,7 @@
 if TYPE_CHECKING:  # loaded only where they are set
     from frostport.durability import Durability
     from frostport.fleet import Fleet
+    from frostport.starting import Starting
 
 log = logging.getLogger("frostport.agent")
 
@@ -110,6 +111,7 @@
         self._end: Deadline | None = None
         self._sweeping: Deadline | None = None
         self.fleet: Fleet | None = None
+        self.starting: Starting | None = None
         self.lifecycle.listen(self.entered)
 
     def connect(self, dial: str, protocol: Dialed) -> defer.Deferred[object]:
@@ -156,7 +158,9 @@
         self._listening = True
         if self.config.operator:
             asked = Operations(self.broker, self.lifecycle, self.figures)
-            also = self.fleet.operations() if self.fleet is not None else {}
+            also = dict(self.fleet.operations()) if self.fleet is not None else {}
+            if self.starting is not None:
+                also.update(self.starting.operations())
             if self.fleet is not None:
                 asked.kept = self.fleet.work.kept
             self.door = Door({**asked.operations(), **also}, self.clock, self.deadlines)
@@ -165,17 +169,25 @@
         # With the listener, and the spare one that Twisted gives up for a moment where accept finds none
         # left.
         self.gate.descriptors.take(Owner.OWN, self.own_descriptors())
+        if self.starting is not None:
+            self.starting.join(self)
         self.side.start()
         if self.fleet is not None:
             self.fleet.work.join(self)
             self.fleet.start()
+        if self.starting is not None:
+            self.starting.start()
         if self.config.admission.ladder:
             self._sweep()
         if self.durability is not None:
             self.durability.started(self)
-        if self.fleet is None:  # else once it knows which machines are out
+        if self.fleet is None and self.able():  # else once it knows which machines are out
             self.lifecycle.enter(Phase.SERVING)
 
+    def able(self) -> bool:
+        """Whether its start is over, as far as that goes by lists, servers and turns."""
+        return self.starting is None or self.starting.ready
+
     def _sweep(self) -> None:
         """Sheds what a lowered limit or the ladder asks for, a few at a time."""
         self._sweeping = None
@@ -340,6 +352,10 @@
             reactor.stop()
 
         agent.fleet = fleet.Fleet(config.fleet, reactor, VERSION, inherited is not None, refused)
+    if config.startup is not None:
+        from frostport import starting
+
+        agent.starting = starting.Starting(config.startup, config.name, agent.fleet)
 
     def on_term(signum: int, frame: object) -> None:
         reactor.callFromThread(agent.terminate)
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from frostport.config_fleet import FleetConfig
+    from frostport.startup.settings import Settings as StartupSettings
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
 OPERATOR_VARIABLE = "PROXY_OPERATOR"  # the door's address for this process; over the file's `operator`
@@ -55,6 +56,7 @@
     admission: Limits = dataclasses.field(default_factory=lambda: Limits(most_clients(1024)))
     operator: str | None = None  # the operators' door
     fleet: FleetConfig | None = None
+    startup: StartupSettings | None = None  # a cold start beside many others
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +197,14 @@
         store=read_store(record, folder) if "store" in record else None,
         admission=read_admission(record, sockets),
         operator=address(record, "operator", optional=True),
-        fleet=read_fleet(record, folder) if "fleet" in record else None)
+        fleet=read_fleet(record, folder) if "fleet" in record else None,
+        startup=read_startup(record) if "startup" in record else None)
+
+
+def read_startup(record: Mapping[str, Any]) -> StartupSettings:
+    from frostport import config_startup  # nor of this part
+
+    return config_startup.read(record)
 
 
 def read_fleet(record: Mapping[str, Any], folder: pathlib.Path) -> FleetConfig:
--- a/frostport/fleet.py
+++ b/frostport/fleet.py
@@ -98,6 +98,8 @@
         self.number = 0
         self.reads: dict[str, Callable[[], None]] = {}
         self.asked: dict[str, float] = {}  # commands and reads of this life that are under way: since when
+        self.parts: dict[str, Callable[[str, bytes], None]] = {}  # who else hears frames, by their kind
+        self.watchers: list[Callable[[], None]] = []  # who hears of each change of the membership
         self.ports: list[Any] = []
         self._timers: dict[str, Deadline] = {}
 
@@ -167,6 +169,8 @@
                 case seen.Told():
                     self.record.event("member", member=action.name, state=action.state.name.lower(),
                                       of=action.incarnation, phase=action.info.phase)
+                    for watcher in self.watchers:
+                        watcher()
                     self._raft(agreed.Members(tuple(
                         [self.config.agent, *(member.name for member in self.swim.table.here())])))
                 case seen.Moved():
@@ -195,6 +199,8 @@
                 if kind == VIEW:
                     self.link.send(sender, ANSWER, _encoder.encode(self.swim.view()))
                 self._swim(seen.View(_view.decode(body)))
+            elif (part := self.parts.get(kind)) is not None:
+                part(sender, body)
         except msgspec.MsgspecError as problem:
             self.link.complaints.say(self.clock.now(), sender, f"{kind}: {problem}")
 
--- a/frostport/maintenance/keeper.py
+++ b/frostport/maintenance/keeper.py
@@ -47,6 +47,7 @@
     unreached: frozenset[str] = frozenset()
     members: Mapping[str, Member] = field(default_factory=dict)
     servers: Mapping[str, Server] = field(default_factory=dict)
+    able: bool = True  # the rest of this agent's start is over
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +118,7 @@
         mine = plan.machines.get(self.name)
         known = mine is not None and mine.life == self.life and not mine.gone
         alone = self.remembers and now_ms - self.began >= ALONE_MS
-        if not self.serving and ((local.caught_up and known) or alone):
+        if not self.serving and local.able and ((local.caught_up and known) or alone):
             self.serving = True
             out.append(Serve())
         if self.serving:
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -14,6 +15,7 @@
 from frostport import interface as api
 from frostport.core.broker import Broker
 from frostport.core.deadlines import Deadline
+from frostport.core.dialing import EAGER, LIST, Dialing
 from frostport.net.jsonl import BadLineError, LineConnection
 from frostport.net.lobby import LobbyServers
 
@@ -132,8 +134,11 @@
             raise BadLineError("not JSON") from None
         if isinstance(record, dict):
             self.bus.list.event(record)
+            self.bus.dialing.told(self.bus.list.offset, line)
         elif isinstance(record, bool) or not isinstance(record, int):
             raise BadLineError("neither an event nor a number")
+        else:
+            self.bus.dialing.heard()
 
     def malformed(self, problem: BadLineError) -> None:
         # Guards against an event lost for good: what follows it would be applied, its number passed over.
@@ -151,36 +156,53 @@
         self.list, self.address, self.connect = server_list, address, connect
         self.clock, self.deadlines = server_list.broker.clock, server_list.broker.deadlines
         self.connection: BusConnection | None = None
-        self.dialing: defer.Deferred[object] | None = None
+        self.dialing: Dialing = EAGER
+        self.under_way: defer.Deferred[object] | None = None
         self._wait: Deadline | None = None  # the next dial, or the end of a silence
 
     def start(self) -> None:
+        """At its turn; it may have none, and be started later."""
+        wait = self.dialing.first(LIST)
+        if wait <= 0.0:
+            self._dial()
+        elif wait < math.inf:
+            self.start_in(wait)
+
+    def start_in(self, wait_ms: float) -> None:
+        self._await(wait_ms, self._dial)
+
+    def _dial(self) -> None:
         if self.address is None:
             return
         connection = self.connection = BusConnection(self)
-        dialing = self.dialing = self.connect(self.address, connection)
+        dialing = self.under_way = self.connect(self.address, connection)
         self._await(CONNECT_MS, dialing.cancel)
 
         def failed(failure: Failure) -> None:
             if self.connection is connection:
-                self._await(REDIAL_MS, self.start)
+                self.dialing.failed(LIST)
+                self._await(self.dialing.again(LIST, REDIAL_MS), self._dial)
 
         dialing.addErrback(failed)
 
-    def move(self, address: str | None) -> None:
-        """Another address from now on: the numbers go on there, and the old connection is left."""
-        if address == self.address:
-            return
-        log.info("event bus: %s from now on, from %d", address, self.list.offset)
-        self.address = address
+    def leave(self) -> None:
+        """No connection, and none on its way, until it is started again."""
         old, self.connection = self.connection, None
-        dialing, self.dialing = self.dialing, None
+        dialing, self.under_way = self.under_way, None
         if self._wait is not None:
             self._wait.cancel()
         if dialing is not None:
             dialing.cancel()
         if old is not None:
             old.drop()
+
+    def move(self, address: str | None) -> None:
+        """Another address from now on: the numbers go on there, and the old connection is left."""
+        if address == self.address:
+            return
+        log.info("event bus: %s from now on, from %d", address, self.list.offset)
+        self.address = address
+        self.leave()
         self.start()
 
     def _await(self, ms: float, action: Callable[[], None]) -> None:
@@ -193,6 +215,7 @@
             connection.drop()  # it came up after its address was left
             return
         connection.write(b"from %d\n" % self.list.offset)
+        self.dialing.up(LIST)
         self.heard(connection)
 
     def heard(self, connection: BusConnection) -> None:
@@ -202,4 +225,5 @@
     def lost(self, connection: BusConnection) -> None:
         if connection is self.connection:
             log.warning("event bus lost; again from %d", self.list.offset)
-            self._await(REDIAL_MS, self.start)
+            self.dialing.lost(LIST)
+            self._await(self.dialing.again(LIST, REDIAL_MS), self._dial)
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -13,6 +13,7 @@
 from frostport.core.broker import Broker
 from frostport.core.calls import Attempt, Front, State
 from frostport.core.deadlines import Deadline
+from frostport.core.dialing import EAGER, Dialing
 from frostport.core.slots import Slots
 from frostport.interface import (
     NOTE_NO_LINE,
@@ -144,11 +145,30 @@
         dialing.addBoth(settled)
         dialing.addErrback(self.unreachable)
 
+    def want(self, wait_ms: float) -> None:
+        """Dials after a time, unless a dial is on its way or due before."""
+        if wait_ms <= 0.0:
+            self.connect()
+        elif self.listed and self.dialing is None and len(self.connections) < CONNECTIONS_MOST:
+            at = self.servers.clock.now() + wait_ms
+            if self.redial is not None:
+                if self.redial.action is not None and self.redial.at_ms <= at:
+                    return
+                self.redial.cancel()
+            self.redial = self.servers.deadlines.set(at, self.connect)
+
+    def need(self) -> float:
+        """A call, a release or a probe needs a connection; how long its dial has to wait."""
+        wait = self.servers.dialing.needed(self.host)
+        self.want(wait)
+        return wait
+
     def unreachable(self, failure: Failure) -> None:
         """No connection: refused proves that the process is dead, silence proves nothing."""
         refused = isinstance(failure.value, ConnectionRefusedError)
         log.info("%s: no connection: %s", self.host, failure.type.__name__ if failure.type else failure.value)
         self.broker.tally.avoided(self.host, "connection", True)
+        self.servers.dialing.failed(self.host)
         waiting, self.waiting = self.waiting, []
         probes, self.probes = self.probes, []
         if self.connections:  # guards against dialing for each set-up a server that takes no more connections
@@ -165,13 +185,10 @@
         for number in probes:
             self.broker.probed(number, Outcome.CONNECT_FAILED)
         if not self.connections:
-            self._redial_later()
+            self._again(REDIAL_MS)
 
-    def _redial_later(self) -> None:
-        if self.listed and self.dialing is None:
-            if self.redial is not None:
-                self.redial.cancel()
-            self.redial = self.servers.deadlines.set(self.servers.clock.now() + REDIAL_MS, self.connect)
+    def _again(self, pause_ms: float) -> None:
+        self.want(self.servers.dialing.again(self.host, pause_ms))
 
     def up(self, connection: ServerConnection) -> None:
         if not self.listed:
@@ -179,6 +196,7 @@
             return
         log.info("%s: connected", self.host)
         self.broker.tally.avoided(self.host, "connection", False)
+        self.servers.dialing.up(self.host)
         connection.opened_at = connection.heard_at = connection.reported_at = self.servers.clock.now()
         connection.slot = self.servers.connections.add(connection)
         self.connections.append(connection)
@@ -203,11 +221,11 @@
         log.info("%s: connection lost, %d set-ups open", self.host, len(out))
         for attempt in out.values():
             self.broker.ended(attempt, Outcome.RESET)
+        self.servers.dialing.lost(self.host)
         # Also where others are open: on the next one the server tells again what was lost with this one.
-        if self.servers.clock.now() >= connection.opened_at + REDIAL_MS:
-            self.connect()
-        else:  # guards against a server that closes each new connection at once
-            self._redial_later()
+        # Guards against a server that closes each new connection at once.
+        lasted = self.servers.clock.now() >= connection.opened_at + REDIAL_MS
+        self._again(0.0 if lasted else REDIAL_MS)
 
     def leave(self) -> None:
         """The server is off the list: nothing is sent, no call stands there any more."""
@@ -234,12 +252,14 @@
         request, link = attempt.request, attempt.request.last_link
         if not self.connections:
             self.waiting.append(attempt)
-            self.connect()
+            if self.need() > self.servers.connect_timeout_ms and attempt in self.waiting:
+                self.waiting.remove(attempt)  # its turn comes too late: another server
+                self.broker.ended(attempt, Outcome.CONNECT_FAILED)
             return
         # Guards against second copies of the last attempt's answer: elsewhere they are not this one's.
         chosen = min(self.connections, key=lambda at: (len(at.out) + (at.slot == link), at.opened_at))
         if chosen.out and len(self.connections) < CONNECTIONS_MOST and attempt.sent_at >= self.enough_until:
-            self.connect()  # the fewer set-ups share a connection, the fewer break with it
+            self.need()  # the fewer set-ups share a connection, the fewer break with it
         left = max(1, round(attempt.end_at - self.servers.clock.now()))
         opts = {"class": request.call_class, "left": str(left)}
         if request.key:
@@ -264,12 +284,12 @@
         if not self.connections or not self.connections[0].say(Message("FINISH", tag, rc=cause)):
             self.owed[tag] = cause
             self.broker.recorder.release_owed(self.host, tag)
-            self.connect()
+            self.need()
 
     def probe(self, number: int) -> None:
         if not self.connections:
             self.probes.append(number)
-            self.connect()
+            self.need()
         else:
             self.connections[0].say(Message("ECHO", f"{number:016x}", rc=1))
 
@@ -373,6 +393,7 @@
         self.clock, self.deadlines = broker.clock, broker.deadlines
         self.connections: Slots[ServerConnection] = Slots()
         self.lobbies: dict[str, Lobby] = {}
+        self.dialing: Dialing = EAGER
 
     def add(self, host: str, dial: str, born_ms: float) -> None:
         """A server that is on the list, before the module hears of it."""
@@ -384,8 +405,8 @@
             lobby = self.lobbies[host] = Lobby(self, host, dial)
         if born_ms:
             lobby.reset(born_ms, "a new process")
-        if not lobby.connections:
-            lobby.connect()
+        if not lobby.connections and self.dialing.wanted(host):
+            lobby.want(self.dialing.first(host))
 
     def remove(self, host: str) -> None:
         lobby = self.lobbies.pop(host, None)
--- /dev/null
+++ b/frostport/starting.py
@@ -0,0 +1,301 @@
+"""A cold start beside many others, joined to bus, lobby servers, link and door; decisions are in `startup`.
+
+Imported only where the configuration has `startup`. Its times are the machine's monotonic ones.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import secrets
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
+import orjson
+
+from frostport.core.clock import Clock, MonotonicClock
+from frostport.core.deadlines import Deadlines
+from frostport.core.dialing import LIST, Dialing
+from frostport.core.lifecycle import Lifecycle, Phase
+from frostport.interface import Lifecycle as Listing
+from frostport.membership.messages import State
+from frostport.net.jsonl import BadLineError, Message
+from frostport.net.operator import Operation
+from frostport.startup import feed as feeding
+from frostport.startup import messages
+from frostport.startup.feed import Feed
+from frostport.startup.placing import chosen_servers
+from frostport.startup.settings import Settings
+from frostport.startup.turns import Turns
+from frostport.startup.waves import Local, Waves
+
+if TYPE_CHECKING:
+    from frostport.fleet import Fleet
+
+log = logging.getLogger("frostport.starting")
+
+KIND = "feed"
+PREPARED = "prepared"  # as the other members see it: able to serve, and waiting for its wave
+AT_ONCE_MS = 500.0  # a connection that is closed so soon after it was made tells of pressure
+_messages: msgspec.msgpack.Decoder[messages.Message] = msgspec.msgpack.Decoder(messages.Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Joined(Protocol):
+    """The agent, as far as its start goes; its side is the platform's."""
+
+    clock: Clock
+    deadlines: Deadlines
+    lifecycle: Lifecycle
+    side: Any
+
+
+class Starting(Dialing):
+    """Turns, feed and waves of one agent."""
+
+    def __init__(self, settings: Settings, name: str, fleet: Fleet | None) -> None:
+        self.settings, self.name, self.fleet = settings, name, fleet
+        self.monotonic = MonotonicClock()
+        now = self.monotonic.now()
+        self.turns = Turns(settings, random.Random(secrets.randbits(64)), now)
+        self.waves = Waves(settings, now)
+        self.feed: Feed | None = None
+        self.chosen: set[str] = set()
+        self.chosen_of: frozenset[str] = frozenset()  # the list that they were chosen from
+        self.up_at: dict[str, float] = {}
+        self.dirty, self.said = True, ""
+        self.teller = ""  # whose words are being read; "": the service's
+        self.agent: Joined | None = None
+
+    def join(self, agent: Joined) -> None:
+        """Before the agent's side starts."""
+        self.agent = agent
+        agent.side.bus.dialing = agent.side.servers.dialing = self
+
+    def start(self) -> None:
+        if self.fleet is not None:
+            self.feed = Feed(self.name, self.fleet.config.zone, self._joined.side.list.offset, self.settings,
+                             self.monotonic.now())
+            self.fleet.parts[KIND] = self._frame
+            self.fleet.watchers.append(self._changed)
+        self._tick()
+
+    @property
+    def ready(self) -> bool:
+        return self.waves.ready
+
+    @property
+    def _joined(self) -> Joined:
+        assert self.agent is not None
+        return self.agent
+
+    def _changed(self) -> None:
+        self.dirty = True
+
+    def _tick(self) -> None:
+        agent, now = self._joined, self.monotonic.now()
+        if self.dirty:
+            self._members(now)
+        if self.feed is not None:
+            self.feed.pressed = self.turns.pressures(now)
+            self._feed(feeding.Tick())
+        self._choose()
+        if not self.ready:
+            self._look(now)
+        if agent.lifecycle.phase is not Phase.STOPPED:
+            agent.deadlines.set(agent.clock.now() + feeding.TICK_MS, self._tick)
+
+    def _members(self, now: float) -> None:
+        if self.fleet is None or self.feed is None:
+            return
+        self.dirty = False
+        here = [member for member in self.fleet.swim.table if member.state <= State.SUSPECT]
+        self.turns.seen(len(here) + 1)
+        self._feed(feeding.Members({member.name: member.info.zone for member in here
+                                    if member.state is State.ALIVE}))
+
+    # The list by the fleet
+
+    def _feed(self, event: feeding.Event) -> None:
+        feed = self.feed
+        if feed is None:
+            return
+        bus = self._joined.side.bus
+        for action in feed.handle(event, self.monotonic.now()):
+            match action:
+                case feeding.Say(to, message):
+                    self._say(to, message)
+                case feeding.Whole(to):
+                    self._say(to, messages.Told(-1, (self._whole(),), feed.age_ms(self.monotonic.now()),
+                                                feed.here, False, pressed=feed.pressed))
+                case feeding.Take(events):
+                    self._take(events)
+                case feeding.Connect(among):
+                    bus.start_in(self.turns.first(LIST, self.monotonic.now(), among))
+                case feeding.Disconnect():
+                    bus.leave()
+        if self.said != (said := f"{feed.role.value} {feed.source}".strip()):
+            self.said = said
+            log.info("list: %s", said)
+            if self.fleet is not None:
+                self.fleet.record.event("feed", role=feed.role.value, source=feed.source)
+
+    def _say(self, to: str, message: messages.Message) -> None:
+        if self.fleet is not None:
+            self.fleet.link.send(to, KIND, _encoder.encode(message))
+
+    def _frame(self, sender: str, body: bytes) -> None:
+        message = _messages.decode(body)
+        if not isinstance(message, messages.Enough):
+            for target, level in message.pressed:
+                if target == LIST or target in self._joined.side.servers.lobbies:
+                    self.turns.heard(target, level, self.monotonic.now())
+        self.teller = sender
+        self._feed(feeding.Heard(sender, message))
+        self.teller = ""
+
+    def _take(self, events: tuple[bytes, ...]) -> None:
+        """Guards the list against an event that can't be read: twice told, it is passed over there."""
+        known = self._joined.side.list
+        for line in events:
+            for _ in range(2):
+                try:
+                    record = orjson.loads(line)
+                    if not isinstance(record, dict):
+                        raise BadLineError("not an event")
+                    known.event(record)
+                    break
+                except (BadLineError, orjson.JSONDecodeError) as problem:
+                    log.warning("an event of another agent: %s", problem)
+            self._heard_of(known.offset)
+            self._feed(feeding.Applied(known.offset, line))
+
+    def _heard_of(self, offset: int) -> None:
+        if self.fleet is not None and self.feed is not None and offset > self.feed.offset:
+            age = self.feed.age_ms(self.monotonic.now())
+            self.fleet.record.event("list", offset=offset, role=self.feed.role.value, source=self.teller,
+                                    age_ms=round(age) if age < 1e12 else -1)
+
+    def _whole(self) -> bytes:
+        """The list as one event."""
+        known = self._joined.side.list
+        hosts = [{"host": server.address, "dial": dial, "site": server.zone, "class": server.kind,
+                  "block": server.number, "health": server.state.value, "share": server.nominal,
+                  "born_ms": server.started_ms}
+                 for server, dial in known.entries.values() if server.state is not Listing.GONE]
+        return orjson.dumps({"offset": known.offset,
+                             "topology": {"seq": known.version, "whole": True, "hosts": hosts}})
+
+    # As the one whom bus and lobby servers ask before they dial
+
+    def wanted(self, target: str) -> bool:
+        return False  # those that are come from `_choose`
+
+    def first(self, target: str) -> float:
+        if target == LIST and self.fleet is not None:
+            return float("inf")  # the feed says when
+        return self.turns.first(target, self.monotonic.now())
+
+    def again(self, target: str, pause_ms: float) -> float:
+        return self.turns.again(target, self.monotonic.now())
+
+    def needed(self, target: str) -> float:
+        return self.turns.needed(target, self.monotonic.now())
+
+    def up(self, target: str) -> None:
+        now = self.up_at[target] = self.monotonic.now()
+        self.turns.up(target, now)
+        if target == LIST:
+            self._feed(feeding.Up())
+        else:
+            # Its answer shows that it serves: one that accepts and never speaks counts for nothing.
+            agent = self._joined
+            agent.deadlines.set(agent.clock.now(), lambda: self._ask(target))
+
+    def _ask(self, target: str) -> None:
+        lobby = self._joined.side.servers.lobbies.get(target)
+        for connection in lobby.connections if lobby is not None else ():
+            if connection.heard_at <= connection.opened_at:
+                connection.say(Message("ECHO", "0" * 16, rc=0))
+
+    def failed(self, target: str) -> None:
+        self.turns.pressed(target, self.monotonic.now())
+        if target == LIST:
+            self._feed(feeding.Down())
+
+    def lost(self, target: str) -> None:
+        now = self.monotonic.now()
+        if now - self.up_at.get(target, now) < AT_ONCE_MS:
+            self.turns.pressed(target, now)
+        if target == LIST:
+            self._feed(feeding.Down())
+
+    def heard(self) -> None:
+        self._feed(feeding.Word())
+
+    def told(self, offset: int, line: bytes) -> None:
+        self._heard_of(offset)
+        self._feed(feeding.Word(offset, line))
+
+    # Lobby servers at first
+
+    def _choose(self) -> None:
+        servers = self._joined.side.servers.lobbies
+        listed = frozenset(servers)
+        if listed == self.chosen_of:
+            return
+        for gone in self.chosen_of - listed:
+            self.turns.forget(gone)
+        self.chosen_of, before = listed, self.chosen
+        agents = [] if self.feed is None else [*self.feed.zones, self.name]
+        self.chosen &= listed
+        if len(self.chosen) < min(self.settings.servers, len(listed)):
+            self.chosen = chosen_servers(sorted(listed), self.name, agents, self.settings.servers)
+        for host in sorted(self.chosen - before):
+            if not servers[host].connections:
+                servers[host].want(self.turns.first(host, self.monotonic.now()))
+
+    # Ready
+
+    def _look(self, now: float) -> None:
+        agent = self._joined
+        lobbies = agent.side.servers.lobbies
+        answering = sum(any(at.heard_at > at.opened_at for at in lobbies[host].connections)
+                        for host in self.chosen if host in lobbies)
+        members = list(self.fleet.swim.table.here()) if self.fleet is not None else []
+        phases = [member.info.phase for member in members]
+        listed = sum(server.state is Listing.READY for server, _ in agent.side.list.entries.values())
+        local = Local(listed, answering, len(self.chosen), phases.count(PREPARED),
+                      phases.count(Phase.SERVING.value), len(members) + 1)
+        before = self.waves.prepared_at
+        ready = self.waves.look(local, now)
+        if self.fleet is not None:
+            if before is None and self.waves.prepared_at is not None and not ready:
+                self.fleet.phase(PREPARED)
+            if ready:
+                self.fleet.record.event("able", waited_ms=round(now - self.waves.began))
+        elif ready and agent.lifecycle.may(Phase.SERVING):
+            agent.lifecycle.enter(Phase.SERVING)
+
+    # The door
+
+    def operations(self) -> Mapping[str, Operation]:
+        return {"startup": self._startup}
+
+    def _startup(self, _: str) -> list[str]:
+        now, feed = self.monotonic.now(), self.feed
+        waits = "able to serve" if self.ready else f"waits for {self.waves.why}"
+        rate = f"{self.settings.dials_a_second:g} dials a second"
+        lines = [f"OK {waits}; {self.turns.size} agents share {rate}"]
+        if feed is not None:
+            age = feed.age_ms(now)
+            lines.append(f"list {self._joined.side.list.offset} {feed.role.value}"
+                         f"{f' by {feed.source}' if feed.source else ''}, the service heard "
+                         f"{f'{age:.0f} ms ago' if age < 1e12 else 'never'}; feeds {len(feed.fed)}")
+        for name, target in sorted(self.turns.targets.items()):
+            if target.failures or target.due_at > now or self.turns.pressure(name, now) > 1.0:
+                lines.append(f"{name}: turn in {max(0.0, target.due_at - now):.0f} ms, {target.failures} "
+                             f"failures, pressure {self.turns.pressure(name, now):.2f}")
+        return [*lines, "END"]
+
--- a/frostport/work.py
+++ b/frostport/work.py
@@ -57,6 +57,8 @@
 
     def empty(self) -> bool: ...
 
+    def able(self) -> bool: ...
+
 
 def registered(machine: Machine, plan: Plan, apply: Callable[[Entry, Any], None]) -> None:
     machine.register(KIND, words.VERSION, words.Word, apply, plan.save, plan.restore)
@@ -195,7 +197,8 @@
             members,
             {server.address: words.Server(server.address, server.zone, server.nominal,
                                           server.state is Listing.READY)
-             for server in rotation.last.values() if server.state is not Listing.GONE})
+             for server in rotation.last.values() if server.state is not Listing.GONE},
+            agent.able())
 
     def _rate(self) -> float:
         """Calls a second that were answered here, in the last minute."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -98,7 +98,9 @@
 
     def __init__(self, folder: pathlib.Path, count: int, voters: int, seed: int, relays: bool = True,
                  outside: Outside | None = None, machines: dict[str, dict[str, Any]] | None = None,
-                 **fleet: Any) -> None:
+                 top: dict[str, Any] | None = None, **fleet: Any) -> None:
+        """`top`: more of each agent's configuration; `fleet`: more of its `fleet`."""
+        self.top = top or {}
         self.outside, self.machines = outside, machines or {}
         self.reached: dict[str, tuple[dict[str, str], str]] = {}  # by agent: its servers and its list
         self.folder, self.chance, self.seed = folder, random.Random(seed), seed
@@ -107,6 +109,7 @@
         ports = iter(free_ports(4 * count))
         self.ports = {name: {what: next(ports) for what in ("listen", "door", "gossip", "link")}
                       for name in self.names}
+        self.across = False  # relays only between agents of different zones
         self.relays: dict[tuple[str, str], tuple[DatagramRelay, StreamRelay]] = {}
         self.programs: dict[str, asyncio.subprocess.Process] = {}
         self.log = (folder / "log").open("wb")
@@ -119,7 +122,7 @@
     async def __aenter__(self) -> Rig:
         for first in self.names if self.relayed else ():
             for second in self.names:
-                if first != second:
+                if first != second and (not self.across or self.zone(first) != self.zone(second)):
                     chance = random.Random(self.chance.random())
                     pair = (DatagramRelay(f"{first}>{second}", self.at(second, "gossip"), chance),
                             StreamRelay(f"{first}>{second}", self.at(second, "link"), chance))
@@ -159,7 +162,7 @@
     async def start(self, name: str) -> None:
         routes = {}
         for other in self.names:
-            if other != name and self.relayed:
+            if (name, other) in self.relays:
                 gossip, link = self.relays[name, other]
                 routes[self.address(other, "gossip")] = gossip.address
                 routes[self.address(other, "link")] = link.address
@@ -175,6 +178,7 @@
             first = self.outside.list.event(1, dials)
             record.update(bus=told, known={"offset": 1, "batch": [json.loads(first)]},
                           store={"path": f"{name}.store"})
+        record.update(self.top)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(record), encoding="utf-8")
         how = ["standins.faulty", json.dumps(self.machines[name])] if name in self.machines else ["frostport"]
@@ -217,7 +221,7 @@
     def apart(self, some: list[str]) -> None:
         for name in some:
             for other in self.names:
-                if other not in some:
+                if other not in some and (name, other) in self.relays:
                     self.cut(name, other)
                     self.cut(other, name)
 
@@ -272,6 +276,16 @@
         self.say(f"stop {name}")
         self.programs[name].send_signal(signal.SIGSTOP)
 
+    async def frozen(self, name: str) -> None:
+        """Stops it, and waits until it has stopped: the signal takes its time."""
+        self.freeze(name)
+        stat = pathlib.Path(f"/proc/{self.programs[name].pid}/stat")
+
+        async def stopped() -> bool:
+            return stat.read_text(encoding="utf-8").rpartition(")")[2].split()[0] == "T"
+
+        await self.until(f"{name} has stopped", stopped)
+
     def wake(self, name: str) -> None:
         self.say(f"continue {name}")
         self.programs[name].send_signal(signal.SIGCONT)
--- a/standins/lobby.py
+++ b/standins/lobby.py
@@ -97,6 +97,7 @@
                 message = json.loads(line)
                 match message["verb"]:
                     case "START":
+                        self.began()
                         self.books.set_up(self.name, message["tag"])
                         out.add(message["tag"])
                         loop.call_later(self.chance.uniform(0.0, self.longest_ms) / 1000.0,
@@ -118,6 +119,9 @@
                 self.held[call] = "lost"
         writer.close()
 
+    def began(self) -> None:
+        """A set-up has come: for stand-ins that count what it costs them."""
+
     def answer(self, writer: asyncio.StreamWriter, call: str, out: set[str]) -> None:
         if self.held.get(call) != "out" or call not in out or writer.is_closing():
             return
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -383,7 +383,8 @@
     """Nothing sent yet is no ceiling of nought: it goes by its part of the calls offered, and by the ramp."""
     proxy = Proxy(0)
     began = proxy.now
-    proxy.give(api.ListUpdate(api.ListKind.COMPLETE, 2, tuple(server(n, started=began - 1.0) for n in (0, 1))))
+    cold = tuple(server(number, started=began - 1.0) for number in (0, 1))
+    proxy.give(api.ListUpdate(api.ListKind.COMPLETE, 2, cold))
     sent = {0: 0.0, 1: 0.0}
     for second in range(20):
         for _ in range(10):
