--- a/standins/dark_site.py
+++ b/standins/dark_site.py
@@ -23,11 +23,13 @@
 
     def __init__(self, most_ms: float) -> None:
         self.most_ms, self.free_at, self.collapsed = most_ms, 0.0, False
+        self.longest_ms = 0.0  # the most that has waited in line
 
     def takes(self, cost_ms: float) -> float:
         """Seconds until this work is done; 0 work is free. Sets `collapsed`."""
         now = asyncio.get_running_loop().time() * 1000.0
         self.free_at = max(now, self.free_at) + cost_ms
+        self.longest_ms = max(self.longest_ms, self.free_at - now)
         if self.free_at - now > self.most_ms:
             self.collapsed = True
         return (self.free_at - now) / 1000.0
