Start-up: Diameter and YAML are loaded only where configured; the module hears who serves

Profile of the imports: of those before ready a fifth was Diameter's four files and the YAML reader, which a platform agent without contracts never uses. side_diameter.py is loaded where the configuration has diameter, the YAML reader where a description is YAML. The module's share of free lines goes by the proxies that serve, where starting.py knows it (SiblingsUp); elsewhere as before.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -1,4 +1,4 @@
-"""Measures cold starts of real processes: `python -m benchmarks.cold_start [COUNT ...]`; no part of the tests.
+"""Measures cold starts of real processes: `python -m benchmarks.cold_start [COUNT ...]`. Not a test.
 
 Each count is played without the part and with it, one after the other: all processes at once, one list
 service (50 ms an ask) and three lobby servers as stand-ins that count and do not collapse; then calls, and
@@ -79,9 +79,9 @@
             answers = site.books.answers
             await asyncio.sleep(CALM_S)
             after, memory = cost(rig)
+            rate = (site.books.answers - answers) / CALM_S
             print(f"{label}: calm {(after - before) / CALM_S / count * 1000.0:.2f} ms CPU a second and "
-                  f"agent, at {(site.books.answers - answers) / CALM_S:.0f} calls a second in all; {memory:.1f} MB",
-                  flush=True)
+                  f"agent, at {rate:.0f} calls a second in all; {memory:.1f} MB", flush=True)
             for party in parties.values():
                 party.away()
             await asyncio.sleep(AWAY_S)
--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -38,12 +38,13 @@
 from frostport.observe.figures import Figures
 from frostport.operations import Operations
 from frostport.pump import Pump
-from frostport.sides import DiameterSide, PlatformSide
+from frostport.sides import PlatformSide
 from frostport.version import VERSION
 
 if TYPE_CHECKING:  # loaded only where they are set
     from frostport.durability import Durability
     from frostport.fleet import Fleet
+    from frostport.side_diameter import DiameterSide
     from frostport.starting import Starting
 
 log = logging.getLogger("frostport.agent")
@@ -102,7 +103,7 @@
         self.durability = durability
         if durability is not None:
             durability.join(self)
-        self.side = DiameterSide(self) if config.diameter else PlatformSide(self)
+        self.side: DiameterSide | PlatformSide = self._diameter() if config.diameter else PlatformSide(self)
         self.own_descriptors: Callable[[], int] = lambda: 0  # of the process, before it serves anyone
         self.listener: Any = None
         self.inherited: int | None = None  # the clients' listening socket, where the platform holds it
@@ -114,6 +115,11 @@
         self.starting: Starting | None = None
         self.lifecycle.listen(self.entered)
 
+    def _diameter(self) -> DiameterSide:
+        from frostport.side_diameter import DiameterSide  # nothing of it is loaded without it
+
+        return DiameterSide(self)
+
     def connect(self, dial: str, protocol: Dialed) -> defer.Deferred[object]:
         """Dials, where a descriptor is to be had: it counts until the connection is lost, or was not to be
         had."""
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, Any
 
 import orjson
-import yaml
 
 from frostport import interface as api
 from frostport import settings
@@ -129,15 +128,25 @@
         raise ConfigError("file: nested too deep") from None
 
 
+def read_yaml(text: str | bytes) -> Any:
+    """Raises ValueError."""
+    import yaml  # a start without YAML files does without it
+
+    try:
+        return yaml.safe_load(text)
+    except yaml.YAMLError as problem:
+        raise ValueError(str(problem)) from None
+
+
 def load_contracts(path: pathlib.Path) -> list[Contract]:
     """The contracts of one description, JSON or YAML."""
     try:
         text = path.read_bytes()
-        document = orjson.loads(text) if path.suffix == ".json" else yaml.safe_load(text)
+        document = orjson.loads(text) if path.suffix == ".json" else read_yaml(text)
         return contracts.read(document)
     except OSError as problem:
         raise ConfigError(f"{path.name}: {problem.strerror or problem}") from None
-    except (orjson.JSONDecodeError, yaml.YAMLError) as problem:
+    except ValueError as problem:
         raise ConfigError(f"{path.name}: not readable: {' '.join(str(problem).split())}") from None
     except ContractError as problem:
         raise ConfigError(f"{path.name}: {problem}") from None
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -82,6 +82,10 @@
 
     # From the front
 
+    def siblings_up(self, count: int) -> None:
+        """How many call agents serve, with this one."""
+        self._feed(api.SiblingsUp(count))
+
     def find(self, call: str) -> Request | None:
         slot = self.by_id.get(call)
         return None if slot is None else self.requests.get(slot)
--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -192,11 +192,12 @@
         self.offered, self.born = 0.0, -math.inf
         self.hold_ms = max((cls.holding_ms for cls in settings.classes), default=0.0)
         self.tick_at = self.rest_at = self.beat_at = math.inf
+        self.siblings = settings.siblings  # proxies that serve, with this one
         self.bad_messages = 0  # peer messages that did not decode
         self.on: dict[type, Any] = {
             api.CallArrived: self.arrive, api.CallStands: self.stands, api.AttemptEnded: self.ended,
             api.CallGone: self.drop, api.ListUpdate: self.listed, api.ServerReport: self.reported,
-            api.PeerMessage: self.heard, api.TimerFired: self.rang}
+            api.PeerMessage: self.heard, api.TimerFired: self.rang, api.SiblingsUp: self.counted}
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """One event in, the actions it calls for out."""
@@ -425,12 +426,15 @@
         if self.hold_ms and told.get("free", -1.0) >= 0.0:
             # Guards against crowds at the last lines: a part of those free and of those that come free.
             turned = control.size * TICK_MS / self.hold_ms
-            before, control.lines = control.lines, (told["free"] + turned) / self.settings.siblings
+            before, control.lines = control.lines, (told["free"] + turned) / self.siblings
             if control.lines < LEAST * control.fair <= before:
                 control.spread(now)
         if event.elapsed_ms > 0.0 and told.get("mean_ms", -1.0) >= 0.0:
             control.evidence(now, self.grade(told["mean_ms"]), now - told["mean_ms"], now)
 
+    def counted(self, event: api.SiblingsUp, now: float, out: list[api.Action]) -> None:
+        self.siblings = max(1, event.count)
+
     def heard(self, event: api.PeerMessage, now: float, out: list[api.Action]) -> None:
         """What a peer has heard of a server joins the same bucket; what does not decode is only counted."""
         if len(event.data) % NEWS.size or not event.data:
--- a/frostport/durability.py
+++ b/frostport/durability.py
@@ -27,7 +27,8 @@
 from frostport.store.files import DiskFolder, Folder
 
 if TYPE_CHECKING:
-    from frostport.sides import DiameterSide, PlatformSide
+    from frostport.side_diameter import DiameterSide
+    from frostport.sides import PlatformSide
 
 log = logging.getLogger("frostport.store")
 
--- a/frostport/interface.py
+++ b/frostport/interface.py
@@ -188,6 +188,13 @@
     report: tuple[float, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class SiblingsUp:
+    """How many proxies serve now, with this one, where that is known; else the settings' number counts."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """Bytes from another proxy."""
@@ -205,6 +212,7 @@
     | TimerFired
     | ServerReport
     | PeerMessage
+    | SiblingsUp
 )
 
 
--- /dev/null
+++ b/frostport/side_diameter.py
@@ -0,0 +1,79 @@
+"""Diameter on both sides of a call agent, composed; loaded only where the configuration has `diameter`."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from twisted.internet.protocol import Factory
+
+from frostport.config import Config
+from frostport.diameter.front import DiameterFront
+from frostport.diameter.peer import Identity
+from frostport.diameter.route import DiameterRoute
+from frostport.net.peers import split
+from frostport.sides import Accept, Parts
+
+if TYPE_CHECKING:  # loaded only where a store is set
+    from frostport.state.records import Standing
+    from frostport.state.recovery import Restored
+
+
+class DiameterSide:
+    """Diameter on both sides, set up by an operator's file."""
+
+    def __init__(self, agent: Parts) -> None:
+        config, wanted = agent.config, agent.config.diameter
+        assert wanted is not None
+        identity = self.identity = Identity(wanted.host, wanted.realm, int(agent.clock.now() / 1000.0),
+                            split(config.listen)[0])
+        chance = random.Random(config.seed)
+        numbers = {server.host: server.number for server in wanted.servers}
+        self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
+                                   wanted.watchdog_ms, chance, agent.gate)
+        self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
+                                   wanted.sessions_lost_ms, chance, agent.connect)
+        agent.broker.route = self.route
+
+    def factory(self) -> Factory:
+        return Accept(self.front.build)
+
+    def start(self) -> None:
+        self.route.start()
+
+    def reload(self, config: Config) -> None:
+        """Nothing of its own changes live."""
+
+    def resume(self, restored: Restored) -> None:
+        """Goes on with what was on record: this node's state id, peers, sessions, releases owed."""
+        if restored.state_id is not None:
+            self.identity.state_id = restored.state_id
+        for call, standing in restored.standing.items():
+            self.adopt(call, standing)
+        self._sessions_over(restored)
+        self.front.resume(restored.owed, restored.given)
+
+    def adopt(self, call: str, standing: Standing) -> None:
+        self.front.resume_session(call, standing.client, standing.team, "stands", standing.answer)
+
+    def _sessions_over(self, restored: Restored) -> None:
+        for call, over in restored.over.items():
+            if over.answer != "gone" and call not in self.front.sessions:
+                self.front.resume_session(call, over.client, "", over.answer, over.body, over.ended_by,
+                                          over.at)
+
+    def take_up(self, restored: Restored) -> None:
+        self._sessions_over(restored)
+        self.front.resume(restored.owed, restored.given)
+        self.route.resume({}, restored.releases)
+
+    def release(self, restored: Restored) -> None:
+        self.route.resume(restored.peers, restored.releases)
+
+    def calls(self, server: str) -> bool:
+        return server in self.route.servers
+
+    def leave(self) -> None:
+        self.route.ending = True
+        self.front.disconnect()
+        self.route.disconnect()
--- a/frostport/sides.py
+++ b/frostport/sides.py
@@ -1,8 +1,7 @@
-"""The two sides of a call agent, composed: the platform's wires, or Diameter on both sides."""
+"""The platform's side of a call agent, composed; `side_diameter.py` has the other one."""
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -16,13 +15,10 @@
 from frostport.core.broker import Broker
 from frostport.core.clock import Clock
 from frostport.core.lifecycle import Lifecycle
-from frostport.diameter.front import DiameterFront
-from frostport.diameter.peer import Identity
-from frostport.diameter.route import DiameterRoute
 from frostport.net.bus import EventBus, ServerList
 from frostport.net.front import PlatformFront
 from frostport.net.lobby import LobbyServers
-from frostport.net.peers import Peers, split
+from frostport.net.peers import Peers
 from frostport.net.peers import listen as listen_peers
 
 if TYPE_CHECKING:  # loaded only where a store is set
@@ -101,66 +97,6 @@
         """Nothing is said to anyone: calls that stand do so without this program."""
 
 
-class DiameterSide:
-    """Diameter on both sides, set up by an operator's file."""
-
-    def __init__(self, agent: Parts) -> None:
-        config, wanted = agent.config, agent.config.diameter
-        assert wanted is not None
-        identity = self.identity = Identity(wanted.host, wanted.realm, int(agent.clock.now() / 1000.0),
-                            split(config.listen)[0])
-        chance = random.Random(config.seed)
-        numbers = {server.host: server.number for server in wanted.servers}
-        self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
-                                   wanted.watchdog_ms, chance, agent.gate)
-        self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
-                                   wanted.sessions_lost_ms, chance, agent.connect)
-        agent.broker.route = self.route
-
-    def factory(self) -> Factory:
-        return Accept(self.front.build)
-
-    def start(self) -> None:
-        self.route.start()
-
-    def reload(self, config: Config) -> None:
-        """Nothing of its own changes live."""
-
-    def resume(self, restored: Restored) -> None:
-        """Goes on with what was on record: this node's state id, peers, sessions, releases owed."""
-        if restored.state_id is not None:
-            self.identity.state_id = restored.state_id
-        for call, standing in restored.standing.items():
-            self.adopt(call, standing)
-        self._sessions_over(restored)
-        self.front.resume(restored.owed, restored.given)
-
-    def adopt(self, call: str, standing: Standing) -> None:
-        self.front.resume_session(call, standing.client, standing.team, "stands", standing.answer)
-
-    def _sessions_over(self, restored: Restored) -> None:
-        for call, over in restored.over.items():
-            if over.answer != "gone" and call not in self.front.sessions:
-                self.front.resume_session(call, over.client, "", over.answer, over.body, over.ended_by,
-                                          over.at)
-
-    def take_up(self, restored: Restored) -> None:
-        self._sessions_over(restored)
-        self.front.resume(restored.owed, restored.given)
-        self.route.resume({}, restored.releases)
-
-    def release(self, restored: Restored) -> None:
-        self.route.resume(restored.peers, restored.releases)
-
-    def calls(self, server: str) -> bool:
-        return server in self.route.servers
-
-    def leave(self) -> None:
-        self.route.ending = True
-        self.front.disconnect()
-        self.route.disconnect()
-
-
 class Accept(Factory):
     """Hands each accepted connection to a front."""
 
--- a/frostport/starting.py
+++ b/frostport/starting.py
@@ -14,6 +14,7 @@
 import msgspec
 import orjson
 
+from frostport.core.broker import Broker
 from frostport.core.clock import Clock, MonotonicClock
 from frostport.core.deadlines import Deadlines
 from frostport.core.dialing import LIST, Dialing
@@ -48,6 +49,7 @@
     clock: Clock
     deadlines: Deadlines
     lifecycle: Lifecycle
+    broker: Broker
     side: Any
 
 
@@ -65,6 +67,7 @@
         self.chosen_of: frozenset[str] = frozenset()  # the list that they were chosen from
         self.up_at: dict[str, float] = {}
         self.dirty, self.said = True, ""
+        self.serving = 0  # agents, as the module was last told
         self.teller = ""  # whose words are being read; "": the service's
         self.agent: Joined | None = None
 
@@ -112,6 +115,10 @@
         self.dirty = False
         here = [member for member in self.fleet.swim.table if member.state <= State.SUSPECT]
         self.turns.seen(len(here) + 1)
+        serving = 1 + sum(member.info.phase == Phase.SERVING.value for member in here)
+        if serving != self.serving:
+            self.serving = serving
+            self._joined.broker.siblings_up(serving)
         self._feed(feeding.Members({member.name: member.info.zone for member in here
                                     if member.state is State.ALIVE}))
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,7 +28,7 @@
     "admission": 3, "state": 3,
     "membership": 3, "agreement": 3, "maintenance": 3, "startup": 3, "store": 3, "observe": 3, "net": 4,
     "diameter": 4, "config": 5, "config_fleet": 5, "config_startup": 5,
-    "starting": 6, "agent": 6, "durability": 6, "sides": 6,
+    "starting": 6, "side_diameter": 6, "agent": 6, "durability": 6, "sides": 6,
     "operations": 6, "handover": 6, "fleet": 6, "pump": 6, "work": 6,
     "cli": 7,    "__main__": 8}
 NAMED = {
@@ -38,7 +38,8 @@
     ("durability", "handover"), ("agent", "fleet"), ("agent", "pump"), ("fleet", "pump"), ("fleet", "work"),
     ("config", "config_startup"), ("config_startup", "config"), ("agent", "starting"), ("starting", "fleet"),
     ("config", "config_fleet"), ("config_fleet", "config"),  # a part of it, read only where there is one
-    ("durability", "sides"), ("handover", "durability"), ("work", "fleet"),  # for their types alone
+    ("durability", "sides"), ("durability", "side_diameter"), ("agent", "side_diameter"),
+    ("side_diameter", "sides"), ("handover", "durability"), ("work", "fleet"),  # for their types alone
     ("cli", "cli")}
 LIBRARIES = {
     "core": ("twisted", "socket", "orjson", "sqlite3", "msgspec"),
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -379,6 +379,16 @@
     assert Proxy(retransmit_ms=100.0).logic.pace == 0.25
 
 
+def test_free_lines_are_shared_by_the_proxies_that_serve() -> None:
+    proxy = Proxy(1, report_columns=("free", "size"))
+    proxy.logic.hold_ms = 1e12  # none comes free meanwhile
+    for told, share in ((None, 4.0), (8, 8.0), (0, 1.0)):
+        if told is not None:
+            proxy.give(api.SiblingsUp(told))
+        proxy.give(api.ServerReport(server(0).address, api.Outcome.OK, 0.0, (40.0, 50.0)))
+        assert proxy.control().lines == pytest.approx(40.0 / share)
+
+
 def test_a_proxy_that_starts_among_cold_servers_alone_uses_them_within_their_ramp() -> None:
     """Nothing sent yet is no ceiling of nought: it goes by its part of the calls offered, and by the ramp."""
     proxy = Proxy(0)
