Benchmark of cold starts: agents give way to the stand-ins that count them

At 200 processes on 8 cores the stand-ins, in one process with the polling of 200 doors, read connections in bunches: 55 in 100 ms where the turns give 8. Agents now run at a lower priority, and doors are asked one after the other.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -23,16 +23,24 @@
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
-async def ready(rig: Rig) -> float:
-    """Seconds until the last agent says that it serves."""
+class Behind(Rig):
+    """Agents give way to the stand-ins, which would else tell when they were scheduled, not who came."""
+
+    async def start(self, name: str) -> None:
+        await super().start(name)
+        os.setpriority(os.PRIO_PROCESS, self.programs[name].pid, 10)
+
+
+async def ready(rig: Rig) -> None:
+    """Until the last agent says that it serves; a few are asked at a time."""
     began, left = time.monotonic(), list(rig.names)
     while left:
-        said = await asyncio.gather(*(rig.ask(name, "ready") for name in left))
-        left = [name for name, lines in zip(left, said, strict=True) if lines[:1] != ["OK yes"]]
-        await asyncio.sleep(0.25)
+        if (await rig.ask(left[0], "ready"))[:1] == ["OK yes"]:
+            left.pop(0)
+        else:
+            await asyncio.sleep(0.2)
         if time.monotonic() - began > 180.0:
             raise TimeoutError(f"{len(left)} never serve")
-    return time.monotonic() - began
 
 
 def seen(parties: dict[str, Costly], since: float) -> str:
@@ -61,7 +69,7 @@
         party.processor.most_ms = float("inf")
     top: dict[str, Any] = {"startup": {"agents": count}} if part else {}
     with tempfile.TemporaryDirectory() as folder:
-        rig = Rig(pathlib.Path(folder), count, 3, 1, relays=False, outside=site, top=top)
+        rig = Behind(pathlib.Path(folder), count, 3, 1, relays=False, outside=site, top=top)
         began, wall = time.monotonic(), time.time()
         async with rig:
             await ready(rig)
