--- a/tests/test_gossip_wire.py
+++ b/tests/test_gossip_wire.py
@@ -239,6 +239,6 @@
             "'frostport.membership', 'frostport.agreement', 'frostport.maintenance', "
             "'frostport.work', 'frostport.net.link', 'frostport.net.gossip', "
             "'frostport.config_fleet', 'frostport.observe.record', 'frostport.startup', "
-            "'frostport.starting', 'frostport.config_startup'))])")
+            "'frostport.starting', 'frostport.config_startup', 'frostport.replication'))])")
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
