Replication: a catch-up cut at any message, or a byte flipped, is whole or begins anew

Twelve ranges, batches written meanwhile; each message in turn lost alone or with all behind it, each byte of each message flipped (over 500 flips).

--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,7 +18,7 @@
 from frostport.replication.copies import Seen, Table, holds, joined, merged, resolved
 from frostport.replication.epochs import Epochs
 from frostport.replication.holder import Holder
-from frostport.replication.messages import Append, Batch, Done, Message, Own, Rest, Succeed, Word
+from frostport.replication.messages import Append, Batch, Done, Message, Own, Piece, Rest, Succeed, Word
 from frostport.replication.settings import Settings
 from frostport.replication.stream import Phase, Stream
 from frostport.replication.successor import Gathering
@@ -495,6 +496,100 @@
     taken_by_one_that_is_behind()
 
 
+# Catching up, cut at every message and with every byte flipped
+
+PAIR = Settings(copies=1, piece_bytes=60, pieces_a_second=1e6, tail_batches=50)
+HELD = [(f"call/{number}", bytes([65 + number]) * 20) for number in range(12)]
+
+
+def caught_up(spoil: Callable[[int, Message], Message | None], alone: bool = False,
+              most: int = 400) -> tuple[Stream, Holder, int]:
+    """An owner and one holder until it is whole; `spoil` sees each message to the holder, by its number: what
+    it makes of it arrives. None: it is lost, and unless `alone` all that is under way with it."""
+    owner, place, now = Stream("a", 7, PAIR, HELD), Holder({}), 0.0
+    out: stream.Out = []
+    owner.follow(["b"], now, out)
+    wire, count = deque(message for _, message in out), 0
+    for _ in range(most):
+        if count in (4, 9):
+            out = []
+            owner.write((("call/3", b"new"), (f"call/{20 + count}", b"later"), ("call/5", None)), now, out)
+            wire.extend(message for _, message in out)
+        if not wire:
+            if owner.holders["b"].phase is Phase.WHOLE and owner.settled() == owner.number:
+                return owner, place, count
+            now += 1100.0
+            out = []
+            owner.tick(now, out)
+            wire.extend(message for _, message in out)
+            continue
+        told, count = spoil(count, wire.popleft()), count + 1
+        if told is None:
+            if not alone:
+                wire.clear()
+            continue
+        out = []
+        for _, answer in place.handle("a", told).send:
+            owner.heard("b", answer, now, out)
+        wire.extend(message for _, message in out)
+    raise AssertionError("never whole")
+
+
+def verified(owner: Stream, place: Holder) -> None:
+    copy = place.copies["a", 7]
+    assert copy.whole and copy.table.root() == owner.table.root()
+    assert {key: value for key, (_, value) in copy.table.entries.items()} \
+        == {key: value for key, (_, value) in owner.table.entries.items()}
+
+
+def test_a_catch_up_that_is_cut_at_any_message_ends_whole_and_sends_no_range_twice_for_it() -> None:
+    owner, place, count = caught_up(lambda number, message: message)
+    verified(owner, place)
+    assert count > 12
+    for cut in range(count):
+        for alone in (False, True):
+            verified(*caught_up(lambda number, message: None if number == cut else message,  # noqa: B023
+                                alone)[:2])
+    ranges = list[int]()
+
+    def watched(number: int, message: Message) -> Message | None:
+        if isinstance(message, Piece) and message.last:
+            ranges.append(message.range)
+        return None if number == 8 else message
+
+    verified(*caught_up(watched)[:2])
+    assert max(ranges.count(each) for each in ranges) <= 2  # those that had come are not sent again
+
+
+def test_a_byte_that_is_flipped_on_the_way_is_never_taken_for_whole() -> None:
+    encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
+    _, _, count = caught_up(lambda number, message: message)
+    flipped = 0
+    for at in range(count):
+        places = itertools.count()
+        for place in places:
+            size = 0
+
+            def spoil(number: int, message: Message) -> Message | None:
+                nonlocal size, flipped
+                if number != at:  # noqa: B023
+                    return message
+                data = bytearray(encoder.encode(message))
+                size = len(data)
+                where = place * (1 if size < 400 else 97) % size  # noqa: B023
+                data[where] ^= 0x11
+                flipped += 1
+                try:
+                    return decoder.decode(bytes(data))
+                except (msgspec.MsgspecError, UnicodeDecodeError):
+                    return None  # the link closes the connection
+
+            verified(*caught_up(spoil)[:2])
+            if (place + 1) * (1 if size < 400 else 97) >= size:
+                break
+    assert flipped > 500
+
+
 # Planted faults: each is seen by what is above
 
 
