--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,8 +5,7 @@
 
 import pickle
 import random
-from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
 
 import pytest
@@ -44,6 +43,7 @@
     Tick,
     Word,
 )
+from tests.exploring import explored
 
 SERVERS = {"h0": Server("h0", "z", 1.0, True), "h1": Server("h1", "z", 1.0, True)}
 ZONES = {"a0": "z", "a1": "z", "a2": "y"}
@@ -377,30 +377,12 @@
     return Request(machines, "", "kernel", "ann", 60_000.0, urgent)
 
 
-def explored(begin: Callable[[], Fleet], depth: int, most: int) -> int:
-    """Breadth first, states once each; how many there were."""
-    first = begin()
-    seen, todo = {first.key()}, deque([(pickle.dumps(first), 0)])
-    while todo:
-        state, at = todo.popleft()
-        if at == depth or len(seen) > most:
-            continue
-        for event in list(pickle.loads(state).events()):
-            fleet = pickle.loads(state)
-            fleet.step(*event)
-            key = fleet.key()
-            if key not in seen:
-                seen.add(key)
-                todo.append((pickle.dumps(fleet), at + 1))
-    return len(seen)
-
-
 BEGINNINGS = {"asked": lambda: asked(one("h0"), one("a1")), "going": going, "out": out, "again": again}
 
 
 @pytest.mark.parametrize("name", BEGINNINGS)
 def test_every_order_of_three_agents_and_two_servers(name: str) -> None:
-    assert explored(BEGINNINGS[name], 4, 20_000) > 500
+    assert explored(BEGINNINGS[name](), 4, 20_000) > 500
 
 
 def lived(seed: int, steps: int = 250) -> Fleet:
@@ -519,7 +501,7 @@
             for seed in range(10):
                 lived(seed, 120)
             for begin in BEGINNINGS.values():
-                explored(begin, 4, 20_000)
+                explored(begin(), 4, 20_000)
         except AssertionError:
             return True
         return False
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -24,6 +24,7 @@
 from frostport.replication.successor import Gathering
 from frostport.state import merge, records
 from frostport.state.records import Open, Over, Standing
+from tests.exploring import explored
 
 # The rule
 
@@ -351,23 +352,6 @@
             self.lease, self.cut, self.by, self.taken, self.lost, self.faults))
 
 
-def explored(world: World, depth: int, most: int) -> int:
-    """Breadth first, states once each; how many there were."""
-    seen, todo = {world.key()}, deque([(pickle.dumps(world), 0)])
-    while todo:
-        held, at = todo.popleft()
-        if at == depth or len(seen) > most:
-            continue
-        for event in list(pickle.loads(held).events()):
-            world = pickle.loads(held)
-            world.step(*event)
-            key = world.key()
-            if key not in seen:
-                seen.add(key)
-                todo.append((pickle.dumps(world), at + 1))
-    return len(seen)
-
-
 def begun(acks: int) -> World:
     """Both holders are whole."""
     world = World(acks)
