--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -343,7 +343,8 @@
             while time.monotonic() - began < 60.0:
                 await rig.ask(asked, "work-ready n4")  # staff say it until it counts
                 lines = await rig.ask(asked, "work-status")
-                if any(f"n4 agent {state}" in line for line in lines for state in ("back", "warming", "done")):
+                later = tuple(f"n4 agent {state}" for state in ("back", "warming", "done"))
+                if any(state in line for line in lines for state in later):
                     break
                 await asyncio.sleep(0.1)
             return time.monotonic() - began
