Cold starts: an agent that hears the list service dials its new address after a reload

Read again: a reload that moves the bus asked for a first dial, and with a fleet the answer was always that the feed says when; the feed, which already held it for connected, never did, and a feeder stayed without the service until its role changed. Now its word is that the connection is gone, and it has a turn. A test is red without it.

--- a/frostport/starting.py
+++ b/frostport/starting.py
@@ -216,7 +216,9 @@
 
     def first(self, target: str) -> float:
         if target == LIST and self.fleet is not None:
-            return float("inf")  # the feed says when
+            if self.feed is None or self.feed.role not in (feeding.Role.FEEDING, feeding.Role.ALONE):
+                return float("inf")  # the feed says when
+            self._feed(feeding.Down())  # the service has another address: the connection is gone
         return self.turns.first(target, self.monotonic.now())
 
     def again(self, target: str, pause_ms: float) -> float:
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import jsonschema
@@ -18,6 +19,7 @@
 from frostport import config_startup
 from frostport.config import ConfigError
 from frostport.core.dialing import LIST
+from frostport.starting import Starting
 from frostport.startup import feed as feeding
 from frostport.startup.feed import Feed, Role
 from frostport.startup.messages import Ask, Told
@@ -349,6 +351,18 @@
     assert asked
 
 
+def test_an_agent_that_hears_the_service_dials_its_new_address_and_one_that_is_fed_does_not() -> None:
+    said: list[str] = []
+    fleet: Any = SimpleNamespace(record=SimpleNamespace(event=lambda what, **more: said.append(what)))
+    part = Starting(Settings(agents=4), "a", fleet)
+    part.agent = SimpleNamespace(side=SimpleNamespace(bus=None))
+    assert part.first(LIST) == float("inf")  # before the feed has begun
+    part.feed = Feed("a", "z", 0, Settings(agents=4), 0.0)
+    assert part.first(LIST) == float("inf")
+    part.feed.first, part.feed.role, part.feed.here = True, Role.FEEDING, True
+    assert part.first(LIST) < float("inf") and not part.feed.here and part.feed.dialling
+
+
 # The configuration
 
 SCHEMA = json.loads((pathlib.Path(__file__).parent.parent / "deploy" / "config.schema.json").read_text(
