--- a/frostport/replication/messages.py
+++ b/frostport/replication/messages.py
@@ -107,16 +107,7 @@
     whole: bool
 
 
-class Left(msgspec.Struct, array_like=True, frozen=True, tag="left"):
-    """An owner whose epoch is over tells its successor what it had, in parts."""
-
-    owner: str
-    epoch: int
-    entries: tuple[tuple[str, bytes], ...]
-    last: bool
-
-
-Message = Append | Digests | Wants | Piece | Check | Ack | Refused | Gather | Rest | Left
+Message = Append | Digests | Wants | Piece | Check | Ack | Refused | Gather | Rest
 
 
 # In the agreed log
--- a/frostport/replication/settings.py
+++ b/frostport/replication/settings.py
@@ -11,9 +11,6 @@
 
     copies: int = 2  # holders of each stream
     acks: int = 1  # of these that have a record before its effect leaves; 0: `soon`, nothing waits
-    stall_ms: float = 1000.0  # an effect waits no longer for holders
-    on_cut: str = "serve"  # what then: `serve` goes on without copies, `refuse` takes no new calls
-    takeover_ms: float = 3000.0  # from an owner's death, as the membership has it, to its succession
     tail_batches: int = 4000  # kept to be sent again
     window: int = 256  # batches on their way to a holder
     piece_bytes: int = 64 * 1024
