Work on machines: agents that are out leave their part of budgets to the others, in steps

The issue asked that load is given back in bounded steps; ceilings did, by the module's own, budgets stayed as configured. Now each agent has agents / agents up times its own part, by the agreed log (one that is cut off takes nothing), a tenth a second, twice at most. Rejected: the membership's view, by which both sides of a cut would take the other's part. Broken once: without steps the test is red.

--- a/frostport/core/contracts.py
+++ b/frostport/core/contracts.py
@@ -20,6 +20,7 @@
 FIELDS = ("class", "aim_ms", "deadline_ms", "attempts", "set_ups_per_second")
 BUCKETS_MOST = 1000  # more than so many are looked through for those that may go
 BURST_S = 1.0  # a team may spend so many seconds' budget at once
+SCALE_STEP, SCALE_MOST = 0.1, 2.0  # of what agents that are out leave to the others: a second, and in all
 
 
 class ContractError(ValueError):
@@ -120,15 +121,17 @@
         self.recorder = Recorder()
         self.contracts = {contract.service: contract for contract in contracts}
         self._buckets: dict[tuple[str, str], tuple[float, float]] = {}  # tokens, and when they were counted
+        self.scale, self._scaled_at = 1.0, -math.inf  # times what the contracts say, and since when
 
     def wait_ms(self, team: str, service: str, now: float) -> float:
         """0 where the set-up is within budget, and counted; else how long until it would be."""
         contract = self.contracts.get(service)
         if contract is None:
             return 0.0
-        most = max(1.0, contract.set_ups_per_second * BURST_S)
+        rate = contract.set_ups_per_second * self.scale
+        most = max(1.0, rate * BURST_S)
         tokens, at = self._buckets.get((team, service), (most, now))
-        tokens = min(most, tokens + (now - at) / 1000.0 * contract.set_ups_per_second)
+        tokens = min(most, tokens + (now - at) / 1000.0 * rate)
         if len(self._buckets) >= BUCKETS_MOST:
             self._prune(now)
         if tokens >= 1.0:
@@ -136,7 +139,15 @@
             self.recorder.spent(team, service, tokens - 1.0, now)
             return 0.0
         self._buckets[team, service] = (tokens, now)
-        return (1.0 - tokens) / contract.set_ups_per_second * 1000.0
+        return (1.0 - tokens) / rate * 1000.0
+
+    def share(self, wanted: float, now: float) -> None:
+        """This agent's part of the teams' budgets is to be so many times the configured one: `SCALE_MOST` at
+        most, reached in steps of `SCALE_STEP` a second."""
+        room = SCALE_STEP * max(0.0, now - self._scaled_at) / 1000.0 if self._scaled_at > -math.inf else 0.0
+        self._scaled_at = now
+        wanted = min(SCALE_MOST, max(1.0, wanted))
+        self.scale += max(-room, min(room, wanted - self.scale))
 
     def _prune(self, now: float) -> None:
         """Guards against team names without end: a bucket that is full again is as good as none."""
--- a/frostport/maintenance/plan.py
+++ b/frostport/maintenance/plan.py
@@ -311,6 +311,13 @@
         return {name: machine for name, machine in self.machines.items()
                 if name in away or name in silent or not (machine.gone or machine.up)}
 
+    def share(self) -> float:
+        """How much of the fleet's budgets each agent that is up has, times its own: those that are out leave
+        theirs to it. By the log, so that one that is cut off takes nothing."""
+        agents = [each for each in self.machines.values() if each.kind == AGENT
+                  and (not each.gone or self.ticket(each.name) is not None)]
+        return len(agents) / max(1, sum(self.up(each) for each in agents))
+
     def waits_for(self, ticket: Ticket) -> list[str]:
         """Whose word a ticket that is going still needs."""
         if ticket.kind == AGENT:
--- a/frostport/work.py
+++ b/frostport/work.py
@@ -137,6 +137,7 @@
                     again = self._do(action) or again
         finally:
             self._looking = False
+        self.agent.broker.budgets.share(self.known.share(), self.agent.clock.now())
 
     def _do(self, action: object) -> bool:
         """Whether something has changed here that the keeper must see at once."""
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import itertools
 import pathlib
 import re
 from typing import Any
@@ -64,6 +65,25 @@
     return {**record, "contracts": [str(tmp_path / "race.yaml")]}
 
 
+def test_what_agents_that_are_out_leave_comes_and_goes_in_bounded_steps() -> None:
+    budgets = Budgets((contracts.Contract("race", 1000.0, 2000.0, 4, 10.0),))
+
+    def a_second(now: float) -> int:
+        return sum(budgets.wait_ms(f"team-{now}", "race", now) == 0.0 for _ in range(100))
+
+    assert a_second(0.0) == 10
+    scales = []
+    for number in range(40):
+        budgets.share(1.5 if number < 20 else 1.0, number * 250.0)
+        scales.append(budgets.scale)
+    assert max(abs(one - other) for one, other in itertools.pairwise(scales)) <= 0.0250001
+    assert scales[19] == pytest.approx(1.475) and scales[39] < 1.01
+    budgets.share(9.0, 1e9)
+    assert budgets.scale == 2.0 and a_second(1e9) == 20  # twice at most
+    budgets.share(0.1, 2e9)
+    assert budgets.scale == 1.0
+
+
 def test_over_budget_is_refused_at_once(tmp_path: pathlib.Path) -> None:
     play("""
         send c1 START a class=race left=3000 tenant=red extras=dest:0
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -543,3 +543,18 @@
     assert "1 out of 1" in plan.why(waiting)
     plan.apply(index + 2, 1, Limits(all=2, zone=2))
     assert waiting.state is State.GOING
+
+
+def test_budgets_of_agents_that_are_out_go_to_those_that_are_up() -> None:
+    plan = Plan()
+    assert plan.share() <= 1.0  # nothing known yet
+    for index, (name, zone) in enumerate(ZONES.items(), start=1):
+        plan.apply(index, 1, Seen(name, zone, 1, True, False, True))
+    assert plan.share() == 1.0
+    plan.apply(4, 1, one("a2"))
+    plan.apply(5, 1, Seen("a2", "y", 1, False, False, True))
+    assert plan.share() == 1.5
+    plan.apply(6, 1, Seen("a2", "y", 1, False, True, True))  # staff have ended it: its ticket still counts
+    assert plan.share() == 1.5
+    plan.apply(7, 1, Seen("a1", "z", 1, False, True, True))  # one that has left for good has no part
+    assert plan.share() == 2.0
