Stand-ins: one redial after loss or refusal, one count of the busiest span

Read again: the simulated agent's redial stood twice (after a refusal, after a loss), and the busiest 100 ms were counted by the same loop in both sites' stand-ins.

--- a/standins/dark_site.py
+++ b/standins/dark_site.py
@@ -13,6 +13,7 @@
 import time
 from typing import Any
 
+from standins import starts
 from standins.fleet import Outside
 from standins.lists import ListService
 from standins.lobby import Books, Caller, Lobby
@@ -179,14 +180,6 @@
         await super().stop()
 
 
-def busiest(times: list[float], since: float = 0.0, span_s: float = 0.1) -> int:
-    """The most of these in any such span."""
-    at = sorted(each for each in times if each >= since)
-    most = first = 0
-    for last, when in enumerate(at):
-        while at[first] <= when - span_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
+def busiest(times: list[float], since: float = 0.0) -> int:
+    """The most of these Unix seconds, from `since` on, in any 100 ms."""
+    return starts.busiest([each * 1000.0 for each in times if each >= since])
--- a/standins/starts.py
+++ b/standins/starts.py
@@ -117,6 +117,10 @@
         if not self.alive():
             return
         self.turns.pressed(target, self.clock())
+        self._again(target)
+
+    def _again(self, target: str) -> None:
+        """A connection is lost, or was not to be had."""
         if target == LIST:
             self.do(feeding.Down())
             if self.feed.role not in (Role.FEEDING, Role.ALONE):
@@ -147,12 +151,7 @@
         if self.alive() and self.connected.get(target) == number:
             del self.connected[target]
             self.answering.discard(target)
-            if target == LIST:
-                self.do(feeding.Down())
-                if self.feed.role not in (Role.FEEDING, Role.ALONE):
-                    return
-            if target not in self.dial_at:
-                self.dial_in(target, self.turns.again(target, self.clock()))
+            self._again(target)
 
     # The feed
 
