Client gone: no attempt begins for a client that has closed or given up, wherever it waits

Causes, each found by reading and shown by a scenario that is red without its mend: - net/jsonl.py connectionLost handled all lines that still waited: set-ups of a client that had just gone began. They don't any more; releases read before the close still count. - Reading was paused as soon as a turn's lines were left over, so neither a close nor a give-up was heard behind them. 64 KiB are read ahead now; a give-up read ahead stops its set-up, or ends one that is open at once. - Nobody asked again before an attempt began. Broker._send asks its front whether the client still waits; on the platform's wire that asks the system for a close (POLLRDHUP), which is told also where reading is paused. What waited for a disk or a dial asks through one method, Broker.wanted, which also looks at a drain past the grace: behind a dial that came up late a set-up went to a server past it (net/lobby.py up). - net/lobby.py leave forgot attempts that waited for a dial at a server that leaves the list: they lay there until their time-out. - decide.py beat kept held calls by id: one given up and come again under its id was sent twice, the second stopped by the guard only. - ClientConnection.hang_up closed without a word to the other set-ups open there (third malformed set-up, half a line): each hears its final answer first. - A second answer with a refusal's cause some ms after the answer ended the call that stands: only causes 16 and 41 end one after its answer.

Test changed: the flood of lines expected reading to be paused with 51 short lines left. It floods with lines of the read-ahead's size now and asks for the same pause, and that one turn's lines pause nothing.

Ruled out: the module's queue, store and guard timers drop a call that the broker knows is gone; the fault was in hearing of it.

--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -358,6 +358,9 @@
                 pass  # changes come by themselves on this wire
 
     def _send(self, request: Request, server: str, within: float, now: float) -> None:
+        if request.state is State.OPEN and not request.front.waits(request):
+            self.gone(request)
+            return
         reason = self.rules.against(request, server, within, now)
         number, request.attempts = request.attempts, request.attempts + 1
         if reason is not None:
@@ -372,15 +375,23 @@
 
     def _go(self, attempt: Attempt) -> None:
         """The attempt leaves, if it is still wanted now that it is on record."""
-        if not attempt.out:
-            return
         now = self.clock.now()
-        if now > attempt.sent_at and self.rules.drained(attempt.server, now):
-            # Guards a draining server against what a slow disk has held back past the grace.
-            self._end(attempt, Outcome.NOT_SENT)
+        if now > attempt.sent_at and not self.wanted(attempt):
             return
-        attempt.sent_at = now
-        self._route().send(attempt)
+        if attempt.out:
+            attempt.sent_at = now
+            self._route().send(attempt)
+
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether an attempt that has waited, for a disk or a dial, may still leave; else it is ended here.
+
+        Guards against a set-up for a client that has gone meanwhile, and against one to a server that has
+        been draining past the grace."""
+        if attempt.out and not attempt.request.front.waits(attempt.request):
+            self.gone(attempt.request)
+        elif attempt.out and self.rules.drained(attempt.server, self.clock.now()):
+            self._end(attempt, Outcome.NOT_SENT)
+        return attempt.out
 
     def _probe(self, server: str, now: float) -> None:
         self._probe_number += 1
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -91,7 +91,10 @@
 
 
 class Front(Protocol):
-    """What the broker says towards clients. Each request hears one of the first three, once."""
+    """What the broker says towards clients. Each request hears `stands`, `refused` or `failed`, once."""
+
+    def waits(self, request: Request) -> bool:
+        """Whether the client of an open request is still there, as far as can be told now."""
 
     def stands(self, request: Request, description: Body) -> None: ...
 
--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -454,7 +454,8 @@
             if call.out is not None and not call.counted \
                     and now - call.sent_at >= (HARD + self.easy(call.out) - EASY) * self.pinch:
                 self.witness(call, call.out, now, 1.0)
-        waiting, self.held = [call for call in self.held if call.id in self.calls], []
+        # The call itself, not its id: one that was given up may have come again under it meanwhile.
+        waiting, self.held = [call for call in self.held if self.calls.get(call.id) is call], []
         self.place(waiting, now, out)
         if now >= self.rest_at:
             self.rest_at = now + self.rest_ms
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -93,6 +93,9 @@
     def empty(self) -> None:
         """A drain leaves peers' connections up: a peer is told of it by its watchdogs, not by a close."""
 
+    def hang_up(self) -> None:
+        """Peers have heard the goodbye; what was said to them leaves with the process's end."""
+
     def held(self) -> int:
         """Client connections that a drain waits for: none, as peers stay."""
         return 0
@@ -250,6 +253,10 @@
 
     # From the broker
 
+    def waits(self, request: Request) -> bool:
+        session = self.sessions.get(request.id)
+        return session is not None and bool(session.waiting)
+
     def stands(self, request: Request, description: Body) -> None:
         assert isinstance(description, bytes)
         self._final(request, avp.SUCCESS, avp.read_avps(description))
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import re
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -52,7 +53,12 @@
 
 
 class ClientConnection(LineConnection):
-    """One connection of clients; it carries many calls and owns none that stands."""
+    """One connection of clients; it carries many calls and owns none that stands.
+
+    Each set-up that it opened ends through its answer or `Broker.gone`, once; no attempt
+    begins for one whose client has closed or given it up, wherever that is heard first."""
+
+    read_ahead = 64 * 1024  # guards against a close or a give-up that nobody hears behind a turn's lines
 
     def __init__(self, front: PlatformFront, seat: Seat) -> None:
         super().__init__(front.broker.clock, front.broker.deadlines)
@@ -68,6 +74,8 @@
         self.owing: set[str] = set()  # releases said here and not confirmed
         self.standing: set[str] = set()  # calls answered here that stand: their release is told here
         self._limit: Deadline | None = None
+        self._starts: set[str] = set()  # set-ups read and not handled yet
+        self._given_up: Counter[str] = Counter()  # those of them whose give-up has been read as well
 
     def opened(self) -> None:
         self.slot = self.front.connections.add(self)
@@ -79,10 +87,10 @@
         # Guards against connections that come by hundreds and say nothing, or half a line.
         self._await(FIRST_LINE_MS)
 
-    def _await(self, ms: float | None) -> None:
+    def _await(self, ms: float | None, then: Callable[[], None] | None = None) -> None:
         if self._limit is not None:
             self._limit.cancel()
-        self._limit = None if ms is None else self.deadlines.set(self.clock.now() + ms, self.drop)
+        self._limit = None if ms is None else self.deadlines.set(self.clock.now() + ms, then or self.drop)
 
     def closed(self) -> None:
         self._await(None)
@@ -108,6 +116,32 @@
 
     # What it says
 
+    def ahead(self, lines: list[tuple[bytes, bool]]) -> list[tuple[bytes, bool]]:
+        """Guards against an attempt for a set-up that is given up already, in lines read and not handled.
+
+        A give-up of an open set-up is handled at once; one of a set-up that waits here stops it."""
+        if not self._waiting and len(lines) < 2:
+            return lines
+        later = []
+        for line, oversize in lines:
+            found = jsonl.TAG_INSIDE.search(line)
+            tag = found.group(1).decode() if found and not oversize else ""
+            if tag and jsonl.START_INSIDE.search(line):
+                self._starts.add(tag)
+            elif tag and jsonl.FINISH_INSIDE.search(line):
+                if tag in self._starts:
+                    self._given_up[tag] += 1
+                elif tag in self.open:
+                    self._one(line, oversize)
+                    continue
+            later.append((line, oversize))
+        return later
+
+    def _begins(self, tag: str) -> bool:
+        """Whether a set-up that was read is still wanted now that its turn has come."""
+        self._starts.discard(tag)
+        return not self.gone and not self._given_up[tag]
+
     def read(self) -> None:
         self.leave_if_idle()
         if not self.alive:
@@ -116,7 +150,7 @@
             if self.spoke and not self.stuck:
                 self._await(None)
         elif self._limit is None:
-            self._await(HALF_LINE_MS)
+            self._await(HALF_LINE_MS, self.hang_up)
 
     def line(self, line: bytes) -> None:
         message = jsonl.decode(line)
@@ -129,10 +163,16 @@
             self.front.gate.heard(self.seat)
         match message.verb:
             case "START":
+                if not self._begins(message.tag):
+                    return
                 try:
                     self.front.start(self, message)
                 except BadLineError as problem:
                     raise BadLineError(str(problem), line) from None
+            case "FINISH" if self._given_up[message.tag] > 0:
+                self._given_up.subtract((message.tag,))
+                self._given_up += Counter()  # drops what has come to nought
+                self.say(Message("FINISHED", message.tag))
             case "FINISH":
                 self.front.finish(self, message)
             case "FINISHED":
@@ -174,8 +214,11 @@
         return self.alive and self.spoke and not self.stuck
 
     def hang_up(self) -> None:
-        """Closes once what was said has left; the open set-ups go with it."""
+        """Closes once what was said has left; each set-up still open here is answered first."""
         if self.alive:
+            for request in list(self.open.values()):
+                self.front.broker.fail(request)
+        if self.alive:  # else it was left as idle with the last of those answers
             self.alive = False
             self.transport.unregisterProducer()
             self.transport.loseConnection()
@@ -229,6 +272,11 @@
         for connection in list(self.connections):
             connection.leave_if_idle()
 
+    def hang_up(self) -> None:
+        """The program ends: closes every connection once what was said on it has left."""
+        for connection in list(self.connections):
+            connection.hang_up()
+
     def held(self) -> int:
         """Client connections still open."""
         return len(self.connections)
@@ -412,6 +460,11 @@
 
     # From the broker
 
+    def waits(self, request: Request) -> bool:
+        connection = self.connections.get(request.place)
+        return connection is not None and connection.open.get(request.id) is request \
+            and not connection.left()
+
     def _answered(self, request: Request) -> ClientConnection | None:
         """Its connection, if that still waits for the answer: it has left, or has nobody to go to,
         afterwards.
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -16,6 +16,7 @@
 from frostport.core.clock import Clock
 from frostport.core.complaints import Complaints
 from frostport.core.deadlines import Deadline, Deadlines
+from frostport.net import liveness
 
 log = logging.getLogger("frostport.net")
 
@@ -25,6 +26,7 @@
 TEXTS = ("class", "key", "extras", "tenant", "load", "note")  # fields that are never bare numbers
 TAG_INSIDE = re.compile(rb'"tag"\s*:\s*"([0-9a-fA-F]{16})"')
 START_INSIDE = re.compile(rb'"verb"\s*:\s*"START"')
+FINISH_INSIDE = re.compile(rb'"verb"\s*:\s*"FINISH"')
 
 FULL, OVERLOADED, MOOT = 34, 42, 102  # refused: trying again is harmless
 NORMAL, BUSY, BROKEN, FAULT = 16, 17, 41, 47
@@ -144,15 +146,18 @@
     peer = "?"
     transport: Any = None
     complaints = Complaints(log)
+    read_ahead = 0  # bytes of lines that may wait while more is read
 
     def __init__(self, clock: Clock, deadlines: Deadlines, longest: int = MAX_LINE) -> None:
         self.clock, self.deadlines = clock, deadlines
         self.lines = Lines(longest)
         self.alive = False
+        self.gone = False  # the other side has closed; what was read before is still handled
         self.released: Callable[[], None] = lambda: None  # its descriptor is free again
         self.stuck = False  # what is written waits for the other side to read: nothing more is read from it
         self.turns = 0  # how often something was read: lines of one turn were written before they were read
         self._waiting: deque[tuple[bytes, bool]] = deque()
+        self._ahead = 0  # bytes of the lines that wait
         self._again: Deadline | None = None
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
@@ -164,21 +169,33 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.alive:
             self.turns += 1
-            self._waiting.extend(self.lines.feed(data))
-            self._work()
+            lines = self.ahead(self.lines.feed(data))
+            self._waiting.extend(lines)
+            self._ahead += sum(len(line) for line, _ in lines)
+            if self._again is None:
+                self._work()
+            else:
+                self._hold_back()
             if self.alive:
                 self.read()
 
     def _work(self, most: int = LINES_A_TURN) -> None:
-        """Handles lines up to a number; then the others' turn comes, and nothing more is read until the next.
+        """Handles lines up to a number; then the others' turn comes, and no more is read ahead than is
+        allowed.
 
         Guards against a peer that writes at full speed: it would keep the agent from everyone else."""
         while self._waiting and self.alive and most:
             most -= 1
-            self._one(*self._waiting.popleft())
+            line, oversize = self._waiting.popleft()
+            self._ahead -= len(line)
+            self._one(line, oversize)
         if self._waiting and self.alive and self._again is None:
-            self.transport.pauseProducing()
             self._again = self.deadlines.set(self.clock.now(), self._more)
+        self._hold_back()
+
+    def _hold_back(self) -> None:
+        if self._waiting and self.alive and self._ahead >= self.read_ahead:
+            self.transport.pauseProducing()
 
     def _more(self) -> None:
         self._again = None
@@ -189,7 +206,7 @@
 
     def read_on(self) -> None:
         """Reads again, unless something still stands against it."""
-        if not self._waiting and not self.stuck:
+        if not self.stuck and (not self._waiting or self._ahead < self.read_ahead):
             self.transport.resumeProducing()
 
     def _one(self, line: bytes, oversize: bool) -> None:
@@ -207,6 +224,7 @@
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802
         if self._again is not None:
             self._again.cancel()
+        self.gone = True
         self._work(len(self._waiting))  # a release that was read before the connection closed still counts
         self.alive = False
         self._waiting.clear()
@@ -228,6 +246,14 @@
             self.alive = False
             self.transport.abortConnection()
 
+    def left(self) -> bool:
+        """Whether the other side has closed, as far as can be told now: also where nothing is read."""
+        return self.gone or not self.alive or liveness.closed(self.transport)
+
+    def ahead(self, lines: list[tuple[bytes, bool]]) -> list[tuple[bytes, bool]]:
+        """Lines that were just read, before any of them is handled; those that are to be handled in turn."""
+        return lines
+
     def opened(self) -> None:
         """The connection is up."""
 
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -39,6 +39,7 @@
          "occupied": NOTE_NUMBER_BUSY, "far_swamped": NOTE_RETURNED}
 BEFORE = {jsonl.FULL: Outcome.FULL, jsonl.BUSY: Outcome.ERROR, jsonl.FAULT: Outcome.ERROR,
           jsonl.MOOT: Outcome.NOT_SENT, jsonl.BROKEN: Outcome.RESET}
+AFTER = (jsonl.NORMAL, jsonl.BROKEN)  # how a call that stands ends; another cause is a second answer
 # The names of the settings' report columns beside those that a report carries.
 COLUMNS = {"free": "x0", "size": "x1", "can_take": "qps", "depth": "queue", "load_share": "util",
            "mean_ms": "latency_ms", "hold_back": "eps", "concurrent": "inflight"}
@@ -206,7 +207,8 @@
             self.broker.recorder.release_paid(self.host, tag)
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
-            self.send(attempt)
+            if self.broker.wanted(attempt):
+                self.send(attempt)
         probes, self.probes = self.probes, []
         for number in probes:
             self.probe(number)
@@ -238,6 +240,9 @@
         self.reset(math.inf, "off the list")
         if self.dialing is not None:
             self.dialing.cancel()
+        waiting, self.waiting = self.waiting, []
+        for attempt in waiting:  # guards against one that waits for a dial which is never made
+            self.broker.ended(attempt, Outcome.CONNECT_FAILED)
 
     def reset(self, before_ms: float, why: str) -> None:
         """The process that ran before a time is gone: its connections, its set-ups and its calls with it."""
@@ -378,7 +383,7 @@
             over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
             self.broker.over_unknown(message.tag, self.servers.front, over)
         elif request.state is State.STANDING and request.attempt is not None \
-                and request.attempt.server == self.host:
+                and request.attempt.server == self.host and message.rc in AFTER:
             over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
             self.broker.ended(request.attempt, over, report=self.report(message))
         self.broker.recorder.barrier(lambda: connection.say(Message("FINISHED", message.tag)))
@@ -394,6 +399,7 @@
         self.connections: Slots[ServerConnection] = Slots()
         self.lobbies: dict[str, Lobby] = {}
         self.dialing: Dialing = EAGER
+        self.due: Callable[[int], None] = lambda connections: None  # told how many these may open in all
 
     def add(self, host: str, dial: str, born_ms: float) -> None:
         """A server that is on the list, before the module hears of it."""
@@ -403,6 +409,7 @@
             lobby = None
         if lobby is None:
             lobby = self.lobbies[host] = Lobby(self, host, dial)
+            self.due(len(self.lobbies) * CONNECTIONS_MOST)
         if born_ms:
             lobby.reset(born_ms, "a new process")
         if not lobby.connections and self.dialing.wanted(host):
@@ -412,6 +419,7 @@
         lobby = self.lobbies.pop(host, None)
         if lobby is not None:
             lobby.leave()
+            self.due(len(self.lobbies) * CONNECTIONS_MOST)
 
     def resume(self, releases: Iterable[tuple[str, str]]) -> None:
         """Servers and calls: what is to be released there since before a restart."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,17 +5,20 @@
                           the connection that its set-up came on; `on=TAG`: on that set-up's
     expect WHO MESSAGE    the next thing that WHO hears matches it, field by field; `nothing`, `closed`
     close WHO [HOW]       WHO breaks its connection; `dead` also refuses new ones, `silent` lets all hang;
-                          `full` only refuses new ones, `but=TAG` is `dead` with that set-up's left open
+                          `full` only refuses new ones, `but=TAG` is `dead` with that set-up's left open,
+                      `unheard` closes so that the agent's reactor hears nothing of it, the system does
     wait MS               time passes
 
 WHO: c1, c2 (clients), s0, s1 (lobby servers), bus, bus2, p1 (a peer's datagrams), agent (`term`, `hup TEXT`
 or `hup FIELD=JSON`; `exit`, `phase`, `stopped N` for the sends that the rules stopped), and for servers
-`send s0 alive`, `mute`, `unmute`; `send c1 stuck` and `unstuck` for one that does not read.
+`send s0 alive`, `mute`, `unmute`, `late` (its new connections come up with `up`); `send c1 stuck`
+and `unstuck` for one that does not read.
 """
 
 from __future__ import annotations
 
 import pathlib
+import socket
 import tempfile
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -123,8 +126,11 @@
 
     def connectTCP(self, host: str, port: int, factory: Any, **more: Any) -> Any:  # noqa: N802
         self.world.later.append(lambda: self.world.dialed(f"{host}:{port}", factory))
-        return type("Connector", (), {"stopConnecting": lambda self: factory.clientConnectionFailed(
-            self, failure(error.UserError))})()
+        connector = type("Connector", (), {
+            "getDestination": lambda self: f"{host}:{port}",
+            "stopConnecting": lambda self: factory.clientConnectionFailed(self, failure(error.UserError))})()
+        factory.startedConnecting(connector)
+        return connector
 
     def stopListening(self) -> None:  # noqa: N802
         self.factory = None
@@ -183,9 +189,13 @@
         return jsonl.Message(verb, tag.zfill(16), opts, None if rc is None else int(rc), blob).encode()
 
     def send(self, text: str) -> None:
-        if text in ("alive", "mute", "unmute"):
+        if text in ("alive", "mute", "unmute", "late"):
             self.state = text
             return
+        if text == "up":
+            self.state = "alive"
+            self.world.later += self.world.held_dials.pop(self.name, [])
+            return
         if text in ("stuck", "unstuck"):
             producer = self.wires[0].other.producer
             producer.pauseProducing() if text == "stuck" else producer.resumeProducing()
@@ -236,6 +246,12 @@
                 wire.protocol = Nobody()
                 wire.loseConnection()
             return
+        if how == "unheard":
+            for wire in self.wires:
+                ours, theirs = socket.socketpair()
+                theirs.close()
+                wire.other.fileno, wire.other.kept = ours.fileno, ours
+            return
         stay = how in ("silent", "full")
         wires, self.wires = ([], self.wires) if stay else (self.wires, [])
         for wire in wires:
@@ -253,6 +269,7 @@
 
     def __init__(self, record: dict[str, Any]) -> None:
         self.dials = 0
+        self.held_dials: dict[str, list[Callable[[], Any]]] = {}
         self.record, self.clock = record, SetClock(START_MS)
         self.later: list[Callable[[], Any]] = []
         self.actors = {name: self.actor(self, name) for name in ("c1", "c2", "s0", "s1", "bus", "bus2", "p1")}
@@ -285,7 +302,9 @@
     def dialed(self, address: str, factory: Any) -> None:
         actor = self.actors[self.addresses[address]]
         self.dials += 1
-        if actor.state in ("dead", "full"):
+        if actor.state == "late":
+            self.held_dials.setdefault(actor.name, []).append(partial(self.dialed, address, factory))
+        elif actor.state in ("dead", "full"):
             factory.clientConnectionFailed(None, failure(error.ConnectionRefusedError))
         elif actor.state != "silent":
             self.join(actor, factory.buildProtocol(None))
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,189 @@
+"""A client that closes or cancels has gone: no attempt begins for it afterwards, wherever it waits.
+
+And the other way: whoever is still there hears one final answer before its connection is closed."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+from twisted.internet import error
+
+from frostport.net import liveness
+from frostport.net.jsonl import LINES_A_TURN, Message
+from tests.scenario import Wire, World, event, failure, host, platform, play
+
+LATE_DIAL = """
+    close s0 late
+    send c1 START a class=race left=3000 extras=dest:0
+"""
+HELD = """
+    send c1 START a class=race left=3000 extras=dest:0
+    expect s0 START a
+    send s0 FINISH a rc=34
+    expect s1 START a
+    send s1 FINISH a rc=34
+"""
+RESET = """
+    send c1 START a class=race left=8000 extras=dest:0
+    expect s0 START a
+    send s0 FINISH a rc=41
+"""
+GONE = {
+    "closed, held by the module": HELD + """
+        close c1 unheard
+        wait 400
+        expect s0 nothing
+        expect s1 nothing
+        expect agent open 0
+    """,
+    "cancelled, held by the module, and come again under its id: one attempt": HELD + """
+        send c1 FINISH a rc=16
+        send c1 START a class=race left=3000 extras=dest:0
+        wait 400
+        expect s0 START a
+        expect s1 nothing
+    """,
+    "closed, waiting for the release guard": RESET + """
+        close c1 unheard
+        wait 800
+        expect s0 nothing
+        expect s1 nothing
+        expect agent open 0
+    """,
+    "closed before its set-up was read": """
+        send c1 ECHO 1 rc=0
+        expect c1 ECHOED
+        close c1 unheard
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 nothing
+        expect s1 nothing
+        expect agent open 0
+    """,
+    "closed, behind a dial that comes up": LATE_DIAL + """
+        close c1 unheard
+        wait 300
+        send s0 up
+        expect s0 nothing
+        expect agent open 0
+    """,
+    "its server drains past the grace, behind a dial that comes up": LATE_DIAL + f"""
+        send bus {event(2, host(0, "draining"))}
+        wait 499
+        send s0 up
+        expect s0 nothing
+        expect s1 START a
+    """,
+    "its server leaves the list, behind a dial that never comes up": LATE_DIAL + f"""
+        send bus {event(2, host(0, "gone"))}
+        expect s1 START a
+    """,
+}
+ANSWERED = {
+    "a client whose third set-up can't be read hears of its others before the close": """
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 START a
+        send c1 START b class=none left=3000
+        expect c1 FINISH b rc=42
+        send c1 START c class=none left=3000
+        expect c1 FINISH c rc=42
+        send c1 START d class=none left=3000
+        expect c1 FINISH d rc=42
+        expect c1 FINISH a rc=41
+        expect c1 closed
+        expect s0 FINISH a rc=16
+    """,
+    "a client that stops in a line hears of its set-ups before the close": """
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+        send c1 raw {"verb":
+        wait 2000
+        expect c1 FINISH a rc=41
+        expect c1 closed
+        expect s0 FINISH a rc=16
+    """,
+    "a second answer of another outcome some ms later: the call stands until its end": """
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        wait 5
+        send s0 FINISH a rc=34
+        send s0 FINISH a rc=17
+        expect c1 nothing
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+    """,
+}
+
+
+@pytest.mark.parametrize("name", GONE)
+def test_nothing_begins_for_a_client_that_has_gone(name: str) -> None:
+    record = platform()
+    if "past the grace" in name:
+        record["settings"] = {**record["settings"], "rules": {"drain-grace-ms": 100.0}}
+    play(GONE[name], record)
+
+
+@pytest.mark.parametrize("name", ANSWERED)
+def test_one_final_answer_to_a_client_that_is_there(name: str) -> None:
+    play(ANSWERED[name], platform())
+
+
+def flood(world: World, after: bytes) -> Wire:
+    """A client's lines that fill a turn, and behind them the set-up `a` and more."""
+    protocol = world.reactor.factory.buildProtocol(None)
+    wire = Wire(world, protocol)
+    wire.other = Wire(world, world.actors["c2"])
+    protocol.makeConnection(wire)
+    start = Message("START", "a".zfill(16), {"class": "race", "left": "3000"}, blob="x").encode()
+    wire.deliver(b'{"verb":"ECHO","tag":"0000000000000002"}\n' * LINES_A_TURN + start + after)
+    return wire
+
+
+def begun(world: World) -> list[str]:
+    heard = world.actors["s0"].inbox + world.actors["s1"].inbox
+    return [said["tag"] for said in heard if said[""] == "START"]
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_a_give_up_behind_a_turn_of_lines_stops_its_set_up(together: bool) -> None:
+    world = play("send c1 ECHO 1 rc=0", platform())
+    give_up = Message("FINISH", "a".zfill(16), rc=16).encode()
+    wire = flood(world, give_up if together else b"")
+    if not together:
+        assert not wire.paused  # it is read on while lines wait, or nobody would hear it
+        wire.deliver(give_up)
+    world.settle()
+    assert begun(world) == [] and world.agent.broker.open == 0
+    heard = [(said[""], said["tag"]) for said in world.actors["c2"].inbox]
+    assert heard.count(("FINISHED", "a")) == 1 and ("FINISH", "a") not in heard
+
+
+def test_a_close_behind_a_turn_of_lines_stops_the_set_ups_before_it_and_not_the_releases() -> None:
+    world = play("""
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        send s0 STARTED b blob=x
+        expect c1 STARTED b
+    """, platform())
+    wire = flood(world, Message("FINISH", "b".zfill(16), rc=16).encode())
+    wire.protocol.connectionLost(failure(error.ConnectionLost))
+    world.settle()
+    assert begun(world) == [] and world.agent.broker.open == 0
+    world.step("expect s0 FINISH b rc=16")
+
+
+def test_a_close_is_told_behind_bytes_that_nobody_has_read() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+        with ours:
+            assert not liveness.closed(ours)
+            client.sendall(b"unread")
+            assert not liveness.closed(ours)
+            client.close()
+            while not liveness.closed(ours):  # bounded by the test's own time; loopback tells at once
+                pass
+        assert not liveness.closed(ours)  # ours is closed: its owner has been told
+        assert not liveness.closed(object())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -642,7 +642,12 @@
     wire = Wire(world, flood)
     wire.other = Wire(world, world.actors["c2"])
     flood.makeConnection(wire)
-    flood.dataReceived(b'{"verb":"ECHO","tag":"0000000000000002"}\n' * (2 * LINES_A_TURN + 1))
+    line = b'{"verb":"ECHO","tag":"0000000000000002"}'.ljust(flood.read_ahead // LINES_A_TURN) + b"\n"
+    flood.dataReceived(line * LINES_A_TURN)
+    assert not wire.paused and not flood._waiting  # one turn's lines: a close behind them is heard
+    world.settle()
+    world.actors["c2"].inbox.clear()
+    flood.dataReceived(line * (2 * LINES_A_TURN + 1))
     assert len(world.later) == LINES_A_TURN and wire.paused
     world.settle()
     assert len(world.actors["c2"].inbox) == 2 * LINES_A_TURN + 1 and not wire.paused
