Shutdown by the settings' longest deadline; descriptors that the bus and servers are due stay free

Need: every request taken gets its answer before SIGKILL whatever the deployment's deadlines; discovery and servers are dialled though idle clients fill the table.

Shutdown. agent.py had 900 ms and 3,500 ms as constants, right only where the longest deadline is 3 s or more: with 1.1 s SIGKILL comes at 1.8 s, and what was open then was lost. core/shutdown.py is one schedule from the classes' deadlines, for a restart (3 s at most) and an upgrade (5 s at most); on an upgrade the last answers went out 1 s before they had to, and at once where the longest deadline is 300 ms or less. After the last answer the program went away after 50 ms whether answers had left or not; it closes client connections and waits until they have left, and ends 50 ms before SIGKILL whoever has not read. It also ends then if a disk never lets an answer go.

Descriptors.room let clients take all that was left once the others held more than what is kept (limit 576, kept 64: with 24 servers at 4 connections each the sum reaches the limit, and a lost bus could not be dialled). What the bus (2) and the listed servers (4 each, half of the limit at most) are due is left out of what clients get, and what the bus is due out of what servers get. Where nothing is left all the same, an idle client makes way for the next dial. The door's 16 connections count from the start.

Event bus: redials were 200 ms apart to the millisecond, in step over the fleet: 100 to 200 ms now, by the seed.

The figures' test asked an agent 1,000 ms after SIGTERM that had ended after 950; it asks after 920.

Checked and found right: SIGTERM twice, before ready, during a drain, with a reload, behind a late dial.

--- a/frostport/admission/gate.py
+++ b/frostport/admission/gate.py
@@ -211,6 +211,13 @@
         self.buffers.by_connection = limits.buffered_connection_bytes
         self._weigh()
 
+    def make_way(self, now: float) -> list[Seat]:
+        """A seat to be closed for a connection that the program itself has to open, if one may go."""
+        victims = list(itertools.islice(self._victims(True, now), 1))
+        for seat in victims:
+            self._give_up(seat, Reason.MADE_ROOM)
+        return victims
+
     def surplus(self, now: float) -> list[Seat]:
         """Seats to be closed now since a limit was lowered or the ladder asks for it; the rest next time."""
         shed: list[Seat] = []
--- a/frostport/admission/ledger.py
+++ b/frostport/admission/ledger.py
@@ -25,6 +25,7 @@
     def __init__(self, limit: int, kept: int) -> None:
         self.limit, self.kept = limit, kept
         self.open: Counter[Owner] = Counter()
+        self.due: Counter[Owner] = Counter()  # what each other owner is to be able to open
         self.refused: Counter[Owner] = Counter()
 
     def take(self, owner: Owner, count: int = 1) -> None:
@@ -39,20 +40,31 @@
     def total(self) -> int:
         return self.open.total()
 
+    def missing(self, *owners: Owner) -> int:
+        """What these owners are due and have not open."""
+        return sum(max(0, self.due[owner] - self.open[owner]) for owner in owners)
+
     def room(self, owner: Owner, fewer: int = 0) -> bool:
         """Whether one more is to be had, with so many given back: for clients outside what is kept for
-        others.
+        others, for servers outside what the event bus is due.
 
         Guards a call that was taken: it can always be sent on, and the event bus always be reached."""
-        if owner is not Owner.CLIENTS:
-            return self.total() - fewer < self.limit
-        others = self.total() - self.open[Owner.CLIENTS]
-        return self.open[Owner.CLIENTS] - fewer < self.limit - max(self.kept, others)
+        if owner is Owner.CLIENTS:
+            return self.open[owner] - fewer < self._for_clients()
+        return self.total() - fewer + (self.missing(Owner.BUS) if owner is Owner.SERVERS else 0) < self.limit
+
+    def _for_clients(self) -> int:
+        """How many clients may have: what others have and are due stays out, though half of the limit does
+        for what is only due to servers.
+
+        Guards against clients that take, while the event bus is away, what it is dialled with."""
+        others = self.total() - self.open[Owner.CLIENTS] + self.missing(Owner.BUS)
+        due = min(others + self.missing(Owner.SERVERS), max(others, self.limit // 2))
+        return self.limit - max(self.kept, due)
 
     def share(self) -> float:
         """How much of what clients may have they have."""
-        others = self.total() - self.open[Owner.CLIENTS]
-        return self.open[Owner.CLIENTS] / max(1, self.limit - max(self.kept, others))
+        return self.open[Owner.CLIENTS] / max(1, self._for_clients())
 
 
 class Buffers:
--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -31,9 +31,10 @@
 from frostport.core.deadlines import Deadline, Deadlines
 from frostport.core.lifecycle import Lifecycle, Phase
 from frostport.core.rules import Rules
+from frostport.core.shutdown import RESTART_MOST_MS, UPGRADE_MOST_MS, Schedule, schedule
 from frostport.decide import Controller
 from frostport.net.bus import BusConnection
-from frostport.net.operator import Door
+from frostport.net.operator import MOST_OPEN, Door
 from frostport.net.peers import split
 from frostport.observe.figures import Figures
 from frostport.operations import Operations
@@ -50,17 +51,13 @@
 log = logging.getLogger("frostport.agent")
 
 PROBE_TIMEOUT_MS = 250.0
-CLOSING_MS = 900.0  # after SIGTERM: connections come for 0.4 s at most, requests for 0.2 s more
-LAST_ANSWER_MS = 3500.0  # after SIGTERM: what is open then is answered, SIGKILL comes from 3.7 s on
-FLUSH_MS = 50.0  # for the last answers to leave
+FLUSH_MS = 50.0  # for the last answers to leave, and for set-ups on their way to be refused
+CLOSED_MS = 5.0  # how often it is looked whether they have
 SURPLUS_MS = 100.0  # between two lots of connections that a lowered limit sheds
 LIVE = ("bus", "sockets", "contracts", "admission")  # what a reload changes in the running program
 PAST = ("seed", "known", "offset")  # what only the start needs
 NEVER_S = 3600.0  # the endpoint's own timeout; the real one is a deadline
 EMPTIED_MS = 100.0  # how often a drain or a handover looks whether all is answered and closed
-HANDOVER_MOST_MS = 5000.0  # after SIGTERM on an upgrade, SIGKILL comes 0.7 s after the longest deadline,
-# at most 5 s: what is open then is answered
-HANDOVER_SPARE_MS = 300.0  # for those last answers to leave
 
 
 def nothing() -> None:
@@ -109,7 +106,8 @@
         self.inherited: int | None = None  # the clients' listening socket, where the platform holds it
         self.door: Door | None = None
         self._listening = False
-        self._end: Deadline | None = None
+        self._end: Deadline | None = None  # the last answers, where SIGTERM has come
+        self._exit_at = 0.0  # and when the program ends, whoever has not read them
         self._sweeping: Deadline | None = None
         self.fleet: Fleet | None = None
         self.starting: Starting | None = None
@@ -128,6 +126,8 @@
         descriptors = self.gate.descriptors
         if not descriptors.room(owner):
             descriptors.refused[owner] += 1
+            # An idle client makes way; its descriptor is free by the time that this is dialled again.
+            self.side.front.shed(self.gate.make_way(self.clock.now()))
             return defer.fail(OSError(errno.EMFILE, "no descriptor left"))
         descriptors.take(owner)
 
@@ -174,7 +174,7 @@
             self.reactor.listenTCP(port, self.door, interface=host)
         # With the listener, and the spare one that Twisted gives up for a moment where accept finds none
         # left.
-        self.gate.descriptors.take(Owner.OWN, self.own_descriptors())
+        self.gate.descriptors.take(Owner.OWN, self.own_descriptors() + (MOST_OPEN if self.door else 0))
         if self.starting is not None:
             self.starting.join(self)
         self.side.start()
@@ -267,29 +267,42 @@
             self._listening = False
             self.listener.stopListening()
 
-    def _hand_over_ends(self) -> None:
-        """Before SIGKILL: what is still open is answered, and the program ends."""
+    def _told_to_end(self, most_ms: float) -> Schedule:
+        """SIGTERM has come: sets its limits, for a restart and an upgrade alike."""
+        log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
+        now = self.clock.now()
+        plan = schedule((kind.deadline_ms for kind in self.rules.settings.classes), most_ms)
+        self._end = self.deadlines.set(now + plan.answer_ms, self._last_answers)
+        self._exit_at = now + plan.exit_ms
+        self.deadlines.set(self._exit_at, self._exit)
+        return plan
+
+    def _stop_taking(self) -> None:
+        if self.lifecycle.phase is Phase.CLOSING:
+            self.lifecycle.enter(Phase.STOPPING)
+
+    def _last_answers(self) -> None:
+        """Before SIGKILL: what is still open is answered, and nothing more is taken."""
         self.broker.fail_all()
-        if self.lifecycle.phase is Phase.HANDING_OVER:
+        if self.lifecycle.may(Phase.STOPPING):
             self.lifecycle.enter(Phase.STOPPING)
 
+    def _exit(self) -> None:
+        if self.lifecycle.may(Phase.STOPPED):
+            self.lifecycle.enter(Phase.STOPPED)
+
     def entered(self, phase: Phase) -> None:
-        now = self.clock.now()
         if self.fleet is not None and phase is not Phase.STOPPED:
             self.fleet.phase(phase.value)
         match phase:
             case Phase.CLOSING:
-                log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
-                self.deadlines.set(now + CLOSING_MS, lambda: self.lifecycle.enter(Phase.STOPPING))
-                self._end = self.deadlines.set(now + LAST_ANSWER_MS, self.broker.fail_all)
+                plan = self._told_to_end(RESTART_MOST_MS)
+                self.deadlines.set(self.clock.now() + plan.take_ms, self._stop_taking)
             case Phase.DRAINING | Phase.TURNING_AWAY:
                 self._emptied()
             case Phase.HANDING_OVER:
                 self._stop_listening()
-                log.info("admission: %s", orjson.dumps(self.gate.snapshot()).decode())
-                longest = max((kind.deadline_ms for kind in self.config.settings.classes), default=0.0)
-                self._end = self.deadlines.set(
-                    now + min(longest, HANDOVER_MOST_MS) - HANDOVER_SPARE_MS, self._hand_over_ends)
+                self._told_to_end(UPGRADE_MOST_MS)
                 self._emptied()
             case Phase.STOPPING:
                 self._stop_listening()
@@ -312,7 +325,17 @@
 
     def _leave(self) -> None:
         self.side.leave()
-        self.deadlines.set(self.clock.now() + FLUSH_MS, lambda: self.lifecycle.enter(Phase.STOPPED))
+        self.deadlines.set(self.clock.now() + FLUSH_MS, self._flush)
+
+    def _flush(self) -> None:
+        """Ends once every answer has left, or at the last moment: a client may read slowly, or not at all."""
+        if self.lifecycle.phase is Phase.STOPPED:
+            return
+        self.side.front.hang_up()
+        if not self.side.front.held() or self.clock.now() >= self._exit_at:
+            self._exit()
+        else:
+            self.deadlines.set(min(self.clock.now() + CLOSED_MS, self._exit_at), self._flush)
 
 
 def promises(config: Config) -> dict[str, tuple[float, float]]:
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import random
 import re
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -21,7 +22,7 @@
 
 log = logging.getLogger("frostport.bus")
 
-REDIAL_MS = 200.0
+REDIAL_MS = 200.0  # at most, and at least half: all that a lost bus held would else dial it in step
 CONNECT_MS = 1000.0  # a connection that is not up by then is dialed anew
 DIAL = re.compile(r"[^:\s]+:[0-9]{1,5}\Z")
 LONGEST = 1024 * 1024  # a whole list may be long
@@ -152,7 +153,9 @@
     """Keeps one connection to the event bus, and asks each new one for what came since the last event."""
 
     def __init__(self, server_list: ServerList, address: str | None,
-                 connect: Callable[[str, BusConnection], defer.Deferred[object]]) -> None:
+                 connect: Callable[[str, BusConnection], defer.Deferred[object]],
+                 chance: random.Random | None = None) -> None:
+        self.chance = chance or random.Random(0)
         self.list, self.address, self.connect = server_list, address, connect
         self.clock, self.deadlines = server_list.broker.clock, server_list.broker.deadlines
         self.connection: BusConnection | None = None
@@ -181,10 +184,14 @@
         def failed(failure: Failure) -> None:
             if self.connection is connection:
                 self.dialing.failed(LIST)
-                self._await(self.dialing.again(LIST, REDIAL_MS), self._dial)
+                self._again()
 
         dialing.addErrback(failed)
 
+    def _again(self) -> None:
+        pause_ms = REDIAL_MS * self.chance.uniform(0.5, 1.0)
+        self._await(self.dialing.again(LIST, pause_ms), self._dial)
+
     def leave(self) -> None:
         """No connection, and none on its way, until it is started again."""
         old, self.connection = self.connection, None
@@ -226,4 +233,4 @@
         if connection is self.connection:
             log.warning("event bus lost; again from %d", self.list.offset)
             self.dialing.lost(LIST)
-            self._await(self.dialing.again(LIST, REDIAL_MS), self._dial)
+            self._again()
--- a/frostport/sides.py
+++ b/frostport/sides.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 from twisted.internet.interfaces import IAddress
@@ -51,8 +53,11 @@
         self.servers = LobbyServers(agent.broker, self.front, agent.connect,
                                     config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS)
         agent.broker.route = self.servers
+        due = agent.gate.descriptors.due
+        due[Owner.BUS] = 2 if config.bus else 0  # the one that is left, and the one that it moves to
+        self.servers.due = partial(due.__setitem__, Owner.SERVERS)
         self.list = ServerList(agent.broker, self.servers)
-        self.bus = EventBus(self.list, config.bus, agent.connect)
+        self.bus = EventBus(self.list, config.bus, agent.connect, random.Random(config.seed))
 
     def factory(self) -> Factory:
         return Accept(self.front.build)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -21,6 +21,7 @@
 from frostport.admission.ledger import Buffers, Descriptors, Owner
 from frostport.admission.settings import Limits, Shared
 from frostport.admission.tables import Buckets, Earned, Offenders, prefix_of
+from frostport.net.jsonl import Message
 from tests.scenario import Nobody, Wire, platform, play
 
 KNOWN = ipaddress.ip_network("10.9.0.0/16")
@@ -375,6 +376,52 @@
     assert not ledger.room(Owner.CLIENTS)
 
 
+def test_clients_leave_what_the_bus_and_the_servers_are_due() -> None:
+    """Servers that hold more than is kept, a bus that is away, and clients that take all they get."""
+    ledger = Descriptors(40, 4)
+    ledger.due[Owner.BUS], ledger.due[Owner.SERVERS] = 2, 8
+    ledger.take(Owner.SERVERS, 6)
+    while ledger.room(Owner.CLIENTS):
+        ledger.take(Owner.CLIENTS)
+    assert ledger.open[Owner.CLIENTS] == 30  # 40 less 8 for servers and 2 for the bus
+    while ledger.room(Owner.SERVERS):
+        ledger.take(Owner.SERVERS)
+    assert ledger.open[Owner.SERVERS] == 8 and ledger.room(Owner.BUS)
+    ledger.take(Owner.BUS, 2)
+    assert not ledger.room(Owner.BUS) and ledger.total() == 40
+    many = Descriptors(40, 4)
+    many.due[Owner.BUS], many.due[Owner.SERVERS] = 2, 400
+    while many.room(Owner.CLIENTS):
+        many.take(Owner.CLIENTS)
+    assert many.open[Owner.CLIENTS] == 20  # what is only due to servers takes half at most
+
+
+def test_idle_clients_fill_the_table_while_the_bus_is_away_and_it_and_servers_are_dialled() -> None:
+    world = play("""
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+        send s0 STARTED a blob=x
+        close bus dead
+        close s1 dead
+    """, platform())
+    agent, factory = world.agent, world.reactor.factory
+    ledger = agent.gate.descriptors
+    for _ in range(2 * agent.config.sockets):
+        wire = Wire(world, factory.buildProtocol(None))
+        wire.other = Wire(world, Nobody())
+        wire.protocol.makeConnection(wire)
+        wire.deliver(Message("ECHO", "b".zfill(16), rc=0).encode())
+    # As where others hold more than was foreseen: nothing is left, and no dial goes out.
+    ledger.take(Owner.OWN, ledger.limit - ledger.total())
+    clients = ledger.open[Owner.CLIENTS]
+    for line in ("close bus alive", "close s1 alive", "wait 2200"):
+        world.step(line)
+    assert ledger.open[Owner.BUS] == 1 and ledger.open[Owner.SERVERS] == 2
+    assert 0 < clients - ledger.open[Owner.CLIENTS] <= 4 and ledger.total() <= ledger.limit
+    for line in ("send c1 FINISH a rc=16", "expect c1 STARTED a", "expect s0 FINISH a rc=16"):
+        world.step(line)  # who has a call open or owed stays
+
+
 def test_tables_forget_the_least_lately_heard_of_and_refill() -> None:
     buckets = Buckets(2.0, 2.0, 3)
     assert [buckets.take("a", 0.0) for _ in range(3)] == [True, True, False]
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -56,7 +56,7 @@
     for _, line in lines(f"""
         send bus {event(2, host(0, "draining"))}
         send agent term
-        wait 1000
+        wait 920
         send c1 START c class=race left=2000 extras=dest:1
         expect c1 FINISH c rc=42
     """):
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -181,7 +181,7 @@
         send c1 START a class=race left=8000 extras=dest:0
         expect s0 START a
         send agent term
-        wait 4650
+        wait 5450
         expect c1 nothing
         wait 100
         expect c1 FINISH a rc=41
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,132 @@
+"""SIGTERM: every request taken gets one whole final answer before SIGKILL, whatever the longest deadline."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from frostport.core.lifecycle import Phase
+from frostport.core.shutdown import RESTART_MOST_MS, UPGRADE_MOST_MS, schedule
+from tests.scenario import platform, play
+
+OUT = """
+    send c1 START a class=race left=1000 extras=dest:0
+    expect s0 START a
+"""
+
+
+def short(deadline_ms: float = 1100.0) -> dict[str, Any]:
+    record = platform()
+    services = [{"name": "race", "aim-ms": deadline_ms / 3.0, "deadline-ms": deadline_ms}]
+    return {**record, "settings": {**record["settings"], "services": services}}
+
+
+@pytest.mark.parametrize(("longest", "most", "kill"), [
+    (100.0, RESTART_MOST_MS, 800.0), (1100.0, RESTART_MOST_MS, 1800.0), (3000.0, RESTART_MOST_MS, 3700.0),
+    (9000.0, RESTART_MOST_MS, 3700.0), (9000.0, UPGRADE_MOST_MS, 5700.0), (250.0, UPGRADE_MOST_MS, 950.0)])
+def test_all_is_done_before_sigkill_and_what_comes_by_then_is_taken(longest: float, most: float,
+                                                                    kill: float) -> None:
+    plan = schedule([50.0, longest], most)
+    assert 600.0 <= plan.take_ms <= plan.answer_ms < plan.exit_ms < kill
+    assert plan.answer_ms >= kill - 250.0  # nothing is given up long before it has to be
+
+
+SHORT = {
+    "a request that its server never answers, taken late": """
+        send agent term
+        wait 590
+        send c1 START a class=race left=2000 extras=dest:0
+        expect s0 START a
+        wait 1000
+        expect c1 nothing
+        wait 11
+        expect c1 FINISH a rc=41
+        expect s0 FINISH a rc=16
+        expect agent phase stopping
+        wait 60
+        expect agent exit
+    """,
+    "twice, and a reload between": OUT + """
+        send agent term
+        wait 100
+        send agent term
+        send agent hup bus="10.0.1.2:1"
+        wait 100
+        send agent term
+        expect agent phase closing
+        send s0 STARTED a blob=x
+        expect c1 STARTED a
+        wait 770
+        expect agent exit
+    """,
+    "held for a retry": """
+        send c1 START a class=race left=2000 extras=dest:0
+        expect s0 START a
+        wait 300
+        send s0 FINISH a rc=41
+        send agent term
+        wait 560
+        expect s0 START a
+        wait 1041
+        expect c1 FINISH a rc=41
+        expect s0 FINISH a rc=16
+        wait 60
+        expect agent exit
+    """,
+    "behind a dial that comes up late": """
+        close s0 late
+        send c1 START a class=race left=1000 extras=dest:0
+        send agent term
+        wait 400
+        send s0 up
+        expect s0 START a
+        send s0 STARTED a blob=x
+        expect c1 STARTED a
+    """,
+    "on a connection that is new after it": """
+        send agent term
+        wait 400
+        send c2 START b class=race left=1000 extras=dest:1
+        expect s1 START b
+        send s1 STARTED b blob=x
+        expect c2 STARTED b
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SHORT)
+def test_sigterm_with_a_short_longest_deadline(name: str) -> None:
+    play(SHORT[name], short())
+
+
+def test_sigterm_during_a_drain_answers_what_is_open() -> None:
+    record = {**short(), "operator": "10.0.9.2:1"}
+    play(OUT + """
+        door drain => OK
+        send agent term
+        send agent term
+        expect agent phase closing
+        wait 500
+        send s0 STARTED a blob=x
+        expect c1 STARTED a
+        wait 460
+        expect agent exit
+    """, record)
+
+
+def test_a_client_that_does_not_read_keeps_the_program_no_longer_than_it_may() -> None:
+    world = play(OUT, short())
+    for wire in list(world.actors["c1"].wires):
+        wire.other.loseConnection = lambda: None  # what was written never leaves
+    for line in ("send s0 STARTED a blob=x", "send agent term", "wait 1700", "expect agent phase stopping",
+                 "wait 51", "expect agent exit"):
+        world.step(line)
+    assert world.agent.lifecycle.phase is Phase.STOPPED
+
+
+def test_sigterm_before_it_is_ready_ends_it() -> None:
+    world = play("expect c1 nothing", short())
+    world.agent.lifecycle.phase = Phase.STARTING  # as where it still waits for its turn to serve
+    for line in ("send agent term", "expect agent phase closing", "wait 960", "expect agent exit"):
+        world.step(line)
