Cold servers and effects: the fleet's probes bound to its calls, repeats only as a class allows

Cold servers. A cold server is not probed any more, and an agent probes once for ten calls offered to it, so the sum does not grow with the number of agents. Ruled out: the ramp, its tokens, restarts (all cases hold with probes off).

The module repeated and refused set-ups of any class; the wire's second rule forbids both for `side_effect` once an attempt may have run, and bounds them for `token`. Settings read `effect`, `key-scope` and `window-ms`; the module keeps to them and core/rules.py stops what would break the first.

--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -416,6 +416,8 @@
         self._stop(attempt)
         request, now = attempt.request, self.clock.now()
         request.attempt = None
+        if outcome not in api.NEVER_RAN and not request.ran_at:
+            request.ran_at = attempt.server
         if outcome in UNCLEAN:
             request.not_before = now + self.rules.settings.release_guard_ms
             if request.id in self.ended_ids:
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -41,6 +41,7 @@
     attempts: int = 0
     attempt: Attempt | None = None  # the one that is out, or on which the call stands
     not_before: float = 0.0
+    ran_at: str = ""  # the server where an attempt may have run first
     last_link: int = -1  # the route's number of the connection that the last attempt went out on
     overdue: Deadline | None = None
     stood_at: float = 0.0
--- a/frostport/core/rules.py
+++ b/frostport/core/rules.py
@@ -30,6 +30,7 @@
     def __init__(self, settings: api.Settings, drain_grace_ms: float) -> None:
         self.settings, self.grace = settings, drain_grace_ms
         self.pools = {cls.name: cls.pools for cls in settings.classes}
+        self.once = {cls.name for cls in settings.classes if cls.effect is api.Effect.SIDE_EFFECT}
         self.servers: dict[str, Told] = {}
         self.stopped: Counter[str] = Counter()
 
@@ -70,6 +71,8 @@
             return "try limit"
         if now < request.not_before:
             return "release guard"
+        if request.ran_at and request.call_class in self.once:
+            return "may have run"
         if within_ms < 0.0 or now >= request.end_at:
             return "too late"
         if told is None or (pools is not None and told.number not in pools):
--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from frostport import interface as api
-from frostport.interface import Lifecycle, ListKind, Outcome
+from frostport.interface import NEVER_RAN, Effect, Lifecycle, ListKind, Outcome
 
 # --- Tuned values -----------------------------------------------------------------------------------
 BEAT_MS = 50.0  # how often held calls are looked at; well under any aim
@@ -21,6 +21,7 @@
 TICK_MS = 1000.0  # one Update step; longer than an answer takes, so that a step's effect is seen
 PEERS_TOLD = 2  # peers told of a proxy's news each rest beat: the same cost a proxy in any fleet
 PROBE_MS = 700.0  # a server is probed no sooner again, and one server a rest beat
+PROBES, PROBES_MOST = 0.1, 2.0  # probes for each call offered here, and how many may be saved up
 SKIP_MS = 200.0  # pause after one full: the design's least
 STRIKE_MS, STRIKE_MAX_MS = 250.0, 4000.0  # half the first pause of an unreachable server, and the longest
 NEWS_MS = 2000.0  # what was heard this long ago counts 1/e
@@ -68,6 +69,21 @@
         self.attempts, self.counted = 0, False
         self.out: Control | None = None
         self.fault: Control | None = None  # the server that answered the last attempt with a fault
+        self.ran: api.Server | None = None  # where it may have run first, and until when it may be repeated
+        self.repeat_until = math.inf
+
+    def may_repeat(self, server: api.Server, now: float) -> bool:
+        """Guards a class with effects against a second one: only where repeats are discarded, and while."""
+        if self.ran is None or self.cls.effect is Effect.PURE:
+            return True
+        alike = {"all": True, "zone": server.zone == self.ran.zone, "cell": server.number == self.ran.number}
+        return (self.cls.effect is Effect.TOKEN and now < self.repeat_until
+                and alike.get(self.cls.key_scope, False))
+
+    def may_refuse(self) -> bool:
+        """Whether its caller may be told that it never ran."""
+        return (self.ran is None or self.cls.effect is Effect.PURE
+                or (self.cls.effect is Effect.TOKEN and self.cls.key_scope == "all"))
 
 
 class Control:
@@ -190,6 +206,8 @@
         self.busy: dict[int, tuple[float, int]] = {}
         self.kept: Control | None = None
         self.offered, self.born = 0.0, -math.inf
+        # Guards servers against a fleet that probes more than it calls: what all ask adds up at each of them.
+        self.probes = PROBES_MOST
         self.hold_ms = max((cls.holding_ms for cls in settings.classes), default=0.0)
         self.tick_at = self.rest_at = self.beat_at = math.inf
         self.siblings = settings.siblings  # proxies that serve, with this one
@@ -227,6 +245,7 @@
     def arrive(self, event: api.CallArrived, now: float, out: list[api.Action]) -> None:
         cls = self.classes.get(event.call_class) or api.CallClass("", event.budget_ms, event.budget_ms)
         self.offered += 1.0
+        self.probes = min(PROBES_MOST, self.probes + PROBES)
         self.hold_ms += (cls.holding_ms - self.hold_ms) / AVERAGED
         past = now - cls.aim_ms if event.redial else now
         since = self.unserved.pop((event.number_called, cls.name), past)
@@ -246,7 +265,7 @@
                 self.send(call, control, now, out)
             elif now >= call.hold_until or call.not_before > call.hold_until:
                 advice = self.settings.max_retry_after_ms if self.settings.retry_after else 0.0
-                out.append(api.RefuseCall(call.id, advice))
+                out.append(api.RefuseCall(call.id, advice) if call.may_refuse() else api.FailCall(call.id))
                 self.end(call)
             else:
                 self.held.append(call)
@@ -269,7 +288,8 @@
         number = control.server.number
         return (control.server.state is Lifecycle.READY and now >= control.skip_until
                 and not (control.strikes and control.out) and number != self.settings.home_number
-                and (call.cls.pools is None or number in call.cls.pools))
+                and (call.cls.pools is None or number in call.cls.pools)
+                and call.may_repeat(control.server, now))
 
     def route(self, call: Call, now: float) -> Control | None:
         """First choice under its ceiling, else the kept server, redrawn at random if it may not be used."""
@@ -342,6 +362,8 @@
             return
         control, call.out = call.out, None
         control.out -= 1
+        if event.outcome not in NEVER_RAN and call.ran is None:
+            call.ran, call.repeat_until = control.server, call.sent_at + call.cls.window_ms
         if event.outcome is Outcome.FULL:
             if now >= control.reject_at + self.pinch:  # one pause of a processor is one reject
                 self.witness(call, control, now, 1.0)
@@ -363,7 +385,8 @@
             call.fault = control
         if event.closed:
             del self.calls[call.id]
-        elif now >= call.end_at - 1.0 or call.attempts >= self.settings.try_limit:
+        elif now >= call.end_at - 1.0 or call.attempts >= self.settings.try_limit \
+                or (call.ran is not None and call.cls.effect is Effect.SIDE_EFFECT):
             out.append(api.FailCall(call.id))
             self.end(call)
         else:
@@ -481,8 +504,10 @@
         if self.settings.peers and news:
             for step in self.random.sample(range(others), min(PEERS_TOLD, others)):
                 out.append(api.TellPeer((self.settings.me + 1 + step) % (others + 1), news))
-        stale = [control for control in ready if now >= control.probe_at + PROBE_MS]
-        if self.settings.probes and stale:
+        # Guards a cold server: what all proxies ask of it is work as well, and its ramp goes by time alone.
+        stale = [control for control in ready if now >= max(control.probe_at + PROBE_MS, control.warm_at)]
+        if self.settings.probes and stale and self.probes >= 1.0:
+            self.probes -= 1.0
             control = min(stale, key=lambda control: control.probe_at)
             control.probe_at = now
             out.append(api.Probe(control.server.address))
--- a/frostport/interface.py
+++ b/frostport/interface.py
@@ -40,6 +40,18 @@
     NOT_SENT = "not_sent"
 
 
+# Outcomes that prove that a set-up never ran: it may be sent again, and refused, whatever its class.
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
+
+
+class Effect(Enum):
+    """Whether a set-up that may have run may be repeated."""
+
+    PURE = "pure"
+    TOKEN = "token"  # by the servers that discard repeats, for a while
+    SIDE_EFFECT = "side_effect"  # never
+
+
 # What an attempt's note says of a FULL outcome, and of an ERROR where all lines of the number are busy.
 NOTE_NO_LINE = 1
 NOTE_RETURNED = 2
@@ -58,6 +70,9 @@
     late_worth: float = 0.0
     pools: tuple[int, ...] | None = None
     holding_ms: float = 0.0
+    effect: Effect = Effect.PURE
+    key_scope: str = "all"  # for `TOKEN`, who discards repeats: `all` servers, those of one `zone` or `cell`
+    window_ms: float = 0.0  # and for how long after the first attempt that may have run
 
 
 @dataclass(frozen=True, slots=True)
--- a/frostport/settings.py
+++ b/frostport/settings.py
@@ -4,11 +4,13 @@
 
 import math
 from collections.abc import Callable, Mapping
-from typing import Any
+from enum import Enum
+from typing import Any, TypeVar
 
 from frostport import interface as api
 
 ABSENT = "-"
+Word = TypeVar("Word", bound=Enum)
 
 
 class SettingsError(ValueError):
@@ -71,6 +73,13 @@
             raise self._error(path, f"not true or false: {value!r}")
         return value in ("true", "1")
 
+    def one_of(self, path: str, kind: type[Word], default: Word) -> Word:
+        try:
+            return kind(self._pairs[path]) if path in self._pairs else default
+        except ValueError:
+            words = ", ".join(str(word.value) for word in kind)
+            raise self._error(path, f"none of {words}: {self._pairs[path]!r}") from None
+
     def words(self, path: str) -> list[str]:
         value = self._pairs.get(path, "")
         return value.split(",") if value not in ("", ABSENT) else []
@@ -95,6 +104,8 @@
             name=conf.text(at + "name"), aim_ms=conf.number(at + "aim-ms", deadline),
             deadline_ms=deadline, gain=conf.number(at + "gain", 1.0),
             late_worth=conf.number(at + "late-worth", 0.0),
+            effect=conf.one_of(at + "effect", api.Effect, api.Effect.PURE),
+            key_scope=conf.text(at + "key-scope", "all"), window_ms=conf.number(at + "window-ms", 0.0),
             holding_ms=holding[index] if index < len(holding) else 0.0,
             pools=conf.integers(pools) or None if conf.text("family-info.topology") == "pools" else None))
     tenants = tuple(
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -187,3 +187,11 @@
                 pass
         assert not liveness.closed(ours)  # ours is closed: its owner has been told
         assert not liveness.closed(object())
+
+
+def test_a_request_that_the_module_has_lost_sight_of_is_answered_just_after_its_time() -> None:
+    world = play("send c1 ECHO 1 rc=0", platform())
+    world.agent.broker.module = type("Deaf", (), {"handle": lambda self, event, now: []})()
+    for line in ("expect c1 ECHOED", "send c1 START a class=race left=1000", "wait 1009", "expect c1 nothing",
+                 "wait 2", "expect c1 FINISH a rc=41", "expect agent open 0"):
+        world.step(line)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -386,6 +386,18 @@
         expect s0 FINISH a
         expect agent standing 0
     """,
+    "a client that closes unheard while its set-up waits for the disk: nothing goes": """
+        send c1 ECHO 1 rc=0
+        expect c1 ECHOED
+        send disk hold
+        send c1 START a class=race left=8000 extras=dest:0 blob=x
+        close c1 unheard
+        wait 300
+        expect s0 nothing
+        send disk free
+        expect s0 nothing
+        expect s1 nothing
+    """,
     "SIGTERM with an answer that waits: it leaves before the end": OUT + """
         send disk hold
         send s0 STARTED a blob=table
