Ends on real sockets and a list gone quiet: tests that wait for recorded events

Need: the rare orders, made to happen every time. A client that closes before a reset is told, its retry waiting for the guard: another client's second attempt, a guard later, is the event that the test waits for. 120 set-ups and their give-ups in one write: no answer to any, what did begin is given up at the server, the next set-up is served. SIGTERM twice with a set-up that no server answers: the answer, the close, exit 0.

--- /dev/null
+++ b/tests/test_quiet_list.py
@@ -0,0 +1,75 @@
+"""The list service dead, hanging or silent: an agent is ready with what it was given, comes back apart."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.scenario import World, event, host, lines, platform
+
+
+class NoBus(World):
+    """Its list service does not answer from the beginning."""
+
+    state = "dead"
+
+    def begin(self) -> None:
+        self.actors["bus"].state = self.state
+        super().begin()
+
+
+class HangingBus(NoBus):
+    state = "silent"
+
+
+def run(world: World, script: str) -> World:
+    for _, line in lines(script):
+        world.step(line)
+    return world
+
+
+@pytest.mark.parametrize("kind", [NoBus, HangingBus])
+def test_an_agent_is_ready_at_once_without_the_list_service_and_hears_it_when_it_is_back(
+        kind: type[World]) -> None:
+    run(kind(platform()), f"""
+        expect agent phase serving
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 START a
+        send s0 STARTED a blob=x
+        expect c1 STARTED a
+        wait 8000
+        expect bus nothing
+        close bus alive
+        wait 1300
+        expect bus from 1
+        send bus {event(2, host(0, "draining"))}
+        send c1 START b class=race left=3000 extras=dest:0
+        expect s1 START b
+        expect s0 nothing
+    """)
+
+
+def test_a_move_of_the_bus_while_a_dial_hangs_leaves_that_dial() -> None:
+    world = run(HangingBus(platform()), """
+        wait 500
+        send agent hup bus="10.0.1.2:1"
+        expect bus2 from 1
+        wait 5000
+        expect bus nothing
+    """)
+    assert sum(world.agent.gate.descriptors.open.values()) == 4  # two servers, the bus, the peers' port
+
+
+def test_agents_that_lose_one_bus_together_dial_it_apart() -> None:
+    after: list[float] = []
+    for seed in range(16):
+        record: dict[str, Any] = {**platform(), "seed": f"{seed + 1:02x}"}
+        world = run(World(record), "expect bus from 1\nclose bus dead\n")
+        world.actors["bus"].state = "alive"
+        lost, dials = world.clock.now(), world.dials
+        while world.dials == dials:
+            world.wait(1.0)
+        after.append(world.clock.now() - lost)
+    assert all(100.0 <= ms <= 201.0 for ms in after)
+    assert len({int(ms / 10.0) for ms in after}) >= 6
--- /dev/null
+++ b/tests/test_real_ends.py
@@ -0,0 +1,153 @@
+"""Ends on real sockets, in the order that hurts: each side waits for the other's recorded event, not time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from standins.lobby import configuration
+from standins.ports import free_ports
+from tests.test_sigkill import PATIENCE_S, ended, up
+
+GUARD_MS = 300.0
+
+
+class Server:
+    """A lobby server that tells of each set-up and answers when it is told to."""
+
+    def __init__(self) -> None:
+        self.came: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
+        self.heard: list[tuple[str, str]] = []
+
+    async def start(self) -> int:
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port: int = self.listener.sockets[0].getsockname()[1]
+        return port
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await self.line(reader):
+            message = json.loads(line)
+            self.heard.append((message["verb"], message["tag"]))
+            if message["verb"] == "START":
+                self.came.put_nowait((message["tag"], writer))
+        writer.close()
+
+    async def line(self, reader: asyncio.StreamReader) -> bytes:
+        try:
+            return await reader.readline()
+        except ConnectionResetError:  # closed with what was open on it: the agent takes it for silent
+            return b""
+
+    async def next(self) -> tuple[str, asyncio.StreamWriter]:
+        return await asyncio.wait_for(self.came.get(), PATIENCE_S)
+
+
+def say(writer: asyncio.StreamWriter, verb: str, tag: str, **more: Any) -> None:
+    writer.write(json.dumps({"verb": verb, "tag": tag, "opts": {}, **more}).encode() + b"\n")
+
+
+def start(writer: asyncio.StreamWriter, tag: str, left: float = 4000.0) -> None:
+    say(writer, "START", tag, opts={"class": "race", "left": str(left)}, blob="x")
+
+
+async def hear(reader: asyncio.StreamReader) -> tuple[str, str]:
+    message = json.loads(await asyncio.wait_for(reader.readline(), PATIENCE_S))
+    return message["verb"], message["tag"]
+
+
+Play = Callable[[Server, int, asyncio.subprocess.Process], Awaitable[None]]
+
+
+async def played(folder: pathlib.Path, play: Play, deadline_ms: float) -> None:
+    server = Server()
+    port, at = free_ports(1)[0], folder / "config.json"
+    record = configuration(port, [await server.start()])
+    record["settings"]["services"] = [{"name": "race", "aim-ms": 400.0, "deadline-ms": deadline_ms}]
+    record["settings"]["family-info"]["release-guard-ms"] = GUARD_MS
+    at.write_text(json.dumps(record), encoding="utf-8")
+    with (folder / "log").open("wb") as log:
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "frostport", "serve", "--config", str(at), stderr=log)
+        try:
+            await up(port)
+            await play(server, port, program)
+            if program.returncode is None:
+                program.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
+        finally:
+            await ended(program)
+            server.listener.close()
+    assert "Traceback" not in (folder / "log").read_text(encoding="utf-8")
+
+
+async def closed_in_the_guard(server: Server, port: int, program: asyncio.subprocess.Process) -> None:
+    gone, staying = "00000000000000aa", "00000000000000bb"
+    _, one = await asyncio.open_connection("127.0.0.1", port)
+    start(one, gone)
+    _, at = await server.next()
+    one.close()  # before the reset is told: its retry waits for the guard, with nobody there
+    say(at, "FINISH", gone, rc=41)
+    reader, other = await asyncio.open_connection("127.0.0.1", port)
+    start(other, staying)
+    for _ in range(2):  # the second comes a whole guard later than the other's would have
+        tag, at = await server.next()
+        assert tag == staying
+        say(at, "FINISH", staying, rc=41)
+    tag, at = await server.next()
+    say(at, "STARTED", tag, blob="y")
+    assert await hear(reader) == ("STARTED", staying)
+    assert [tag for verb, tag in server.heard if verb == "START"].count(gone) == 1
+    say(other, "FINISH", staying, rc=16)
+    assert await hear(reader) == ("FINISHED", staying)
+
+
+async def many_in_one_write(server: Server, port: int, program: asyncio.subprocess.Process) -> None:
+    """A turn's lines, set-ups among them, and their give-ups behind them, all written before any is read."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    tags = [f"{number:016x}" for number in range(1, 121)]
+    for tag in tags:
+        start(writer, tag)
+    for tag in tags:
+        say(writer, "FINISH", tag, rc=16)
+    heard = [await hear(reader) for _ in tags]
+    assert sorted(heard) == [("FINISHED", tag) for tag in tags]  # no answer to any of them
+    start(writer, "00000000000000cc")
+    while (come := await server.next())[0] != "00000000000000cc":
+        assert come[0] in tags
+    say(come[1], "STARTED", come[0], blob="y")
+    assert await hear(reader) == ("STARTED", come[0])
+    begun = [tag for verb, tag in server.heard if verb == "START"]
+    assert len(begun) == len(set(begun)) and set(begun) - {come[0]} <= set(tags)
+    ended_there = [tag for verb, tag in server.heard if verb == "FINISH"]
+    assert set(begun) - {come[0]} <= set(ended_there)  # what did begin is given up there
+    say(writer, "FINISH", come[0], rc=16)
+    assert await hear(reader) == ("FINISHED", come[0])
+
+
+async def told_to_end(server: Server, port: int, program: asyncio.subprocess.Process) -> None:
+    tag = "00000000000000dd"
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    start(writer, tag, 2000.0)
+    await server.next()
+    program.send_signal(signal.SIGTERM)
+    program.send_signal(signal.SIGTERM)
+    assert await hear(reader) == ("FINISH", tag)  # the server never answers it
+    assert await asyncio.wait_for(reader.read(), PATIENCE_S) == b""
+    assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
+
+
+PLAYS: dict[str, tuple[Play, float]] = {
+    "closed in the guard": (closed_in_the_guard, 4000.0), "many in one write": (many_in_one_write, 4000.0),
+    "told to end twice": (told_to_end, 1000.0)}
+
+
+@pytest.mark.parametrize("name", PLAYS)
+def test_ends_on_real_sockets(tmp_path: pathlib.Path, name: str) -> None:
+    asyncio.run(played(tmp_path, *PLAYS[name]))
