An end that overtakes its answer on another connection ends the call, once

Cause, from one id followed through a trace of what server and client read and wrote (0000...020000000c): STARTED left the server on connection 60412 at 0.8712 s, its FINISH 16 on the newest, 60440, at 0.8764; the agent, in a long turn, read the newest first. net/lobby.py finished passed over an end for a request that is open on another connection, and confirmed it ("FINISHED", 0.9168): the server forgot the call, the answer was then read, and the call stood until its client ended it, or for ever where the client had not heard. The protocol has a server tell its release on the next connection that opens too, so a burst that opens connections is enough.

The attempt keeps such an end now (Attempt.over) and Broker._end, through which every attempt goes, settles it: with the answer, both go to the client in order and the server is released; without one, the call ran and has failed, and is not sent again. The end is confirmed only then.

Beside it, read on the way: Lobby.answered released an answer told again here of a call that the old process had just put on record as standing, before the new one had looked; it waits for that look like an end does, by call and server.

--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -189,6 +189,10 @@
         self.recorder.stands(request, attempt, description,
                              lambda: request.front.stands(request, description))
         self._feed(api.CallStands(request.id, attempt.number, attempt.server, now - attempt.sent_at), request)
+        if attempt.over is not None:
+            self.ended(attempt, Outcome.OK)
+            # Guards against the end of an earlier attempt, told again: nothing is left standing there.
+            self.recorder.barrier(lambda: self._route().release(attempt))
 
     def ended(self, attempt: Attempt, outcome: Outcome, note: int = 0, wait_ms: float = 0.0,
               report: tuple[float, ...] = ()) -> None:
@@ -207,6 +211,13 @@
         self.ending.pop(request.id, None)
         request.front.over(request.id, request.place, outcome, request.given)
 
+    def over_early(self, attempt: Attempt, confirm: Callable[[], object]) -> None:
+        """A call has come to its end at its server; its answer is still on its way, on another connection.
+
+        Guards against a call that stands for ever: the end is told and confirmed once. It counts once the
+        answer is heard; an attempt that ends without one ran, and has failed. `confirm` waits for either."""
+        attempt.over = confirm
+
     def over_unheard(self, attempt: Attempt, report: tuple[float, ...] = ()) -> None:
         """A call has come to its end at its server, and its answer was never heard: it ran, and has failed.
 
@@ -423,8 +434,11 @@
             if request.id in self.ended_ids:
                 self.ended_ids[request.id] = (now, request.not_before)
             self.recorder.guarded(request, attempt.server)
-        if request.state is State.OPEN and self.budgets.spent(request.call_class, request.attempts):
+        if request.state is State.OPEN and (
+                attempt.over is not None or self.budgets.spent(request.call_class, request.attempts)):
             self._fail(request)
+        if attempt.over is not None:
+            self.recorder.barrier(attempt.over)
         self._feed(api.AttemptEnded(
             request.id, attempt.number, attempt.server, outcome, now - attempt.sent_at,
             request.state is not State.OPEN, note, wait_ms, report), request)
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -89,6 +90,7 @@
     timeout: Deadline | None = None
     link: int | None = None  # the route's number of the connection it went out on
     out: bool = True
+    over: Callable[[], object] | None = None  # the call's end overtook its answer: confirms it to the server
 
 
 class Front(Protocol):
--- a/frostport/core/recorder.py
+++ b/frostport/core/recorder.py
@@ -34,10 +34,11 @@
         """Whether another process may have an attempt of this call out."""
         return False
 
-    def defers(self, call: str, then: Then) -> bool:
-        """Before a server's end of a call: whether another process has yet to say what became of it.
+    def defers(self, call: str, server: str, then: Then) -> bool:
+        """Before a server's word on a call that is not open here: whether another process has yet to say what
+        became of it.
 
-        `then` goes on once it has, or is gone; of several for one call the last."""
+        `then` goes on once it has, or is gone; of several from one server on one call the last."""
         return False
 
     def barrier(self, then: Then) -> None:
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -254,7 +254,7 @@
         name = str(message.get(avp.SESSION_ID))
         cause = message.get(avp.TERMINATION_CAUSE)
         outcome = Outcome.OK if cause in (None, avp.LOGOUT) else Outcome.RESET
-        if self.broker.recorder.defers(name, lambda: self.request(link, message)):
+        if self.broker.recorder.defers(name, link.host, lambda: self.request(link, message)):
             return
         request = self.broker.find(name)
         attempt = request.attempt if request is not None else None
--- a/frostport/handover.py
+++ b/frostport/handover.py
@@ -105,7 +105,8 @@
         self.step = Step.FOLLOWING
         self.there: set[str] = set()  # calls that the old process has open, or has standing and we don't
         self.adopted: set[str] = set()  # calls that stand there, and here as well, or were ended here since
-        self.deferred: dict[str, Then] = {}  # by call of `there`: its end, heard from the server here
+        # By call of `there` and server: what that server said of it here, its end or an answer told again.
+        self.deferred: dict[tuple[str, str], Then] = {}
 
     def known(self) -> dict[str, bytes]:
         """What the new process starts with beside its own: the list, peers, this node; not the calls."""
@@ -153,19 +154,21 @@
                 log.error("store: can't follow the old process: %s", problem)
             self._go_on()
 
-    def defers(self, call: str, then: Then) -> bool:
-        """Takes a server's end of a call that the old process still has open, until it is known there.
+    def defers(self, call: str, server: str, then: Then) -> bool:
+        """Takes a server's word on a call that the old process still has open, until it is known there.
 
-        Guards against an end that overtakes the answer: that is on record there, or about to be."""
+        Guards against an end that overtakes the answer: that is on record there, or about to be. And against
+        an answer told again here, on a connection newer than the old process's: what is not known here
+        would be released, and may stand by its records."""
         self.look()
         if call not in self.there:
             return False
-        self.deferred[call] = then
+        self.deferred[call, server] = then
         return True
 
     def _go_on(self) -> None:
-        for call in [call for call in self.deferred if call not in self.there]:
-            if (then := self.deferred.pop(call, None)) is not None:  # one before it has looked again
+        for key in [key for key in self.deferred if key[0] not in self.there]:
+            if (then := self.deferred.pop(key, None)) is not None:  # one before it has looked again
                 then()
 
     def elsewhere(self, call: str) -> bool:
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -360,6 +360,9 @@
                 connection.spoilt()
 
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
+        if attempt is None and self.broker.recorder.defers(
+                message.tag, self.host, lambda: self.answered(connection, message, None)):
+            return
         if attempt is not None:
             self.broker.stood(attempt, message.blob or "")
         elif (request := self.broker.find(message.tag)) is None or request.attempt is None \
@@ -370,8 +373,12 @@
 
     def finished(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is None and self.broker.recorder.defers(
-                message.tag, lambda: self.finished(connection, message, None)):
+                message.tag, self.host, lambda: self.finished(connection, message, None)):
             return
+
+        def confirm() -> None:
+            connection.say(Message("FINISHED", message.tag))
+
         request = self.broker.find(message.tag)
         if attempt is not None and message.rc == jsonl.NORMAL:
             self.broker.over_unheard(attempt, self.report(message))
@@ -382,11 +389,15 @@
         elif request is None:
             over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
             self.broker.over_unknown(message.tag, self.servers.front, over)
-        elif request.state is State.STANDING and request.attempt is not None \
-                and request.attempt.server == self.host and message.rc in AFTER:
-            over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
-            self.broker.ended(request.attempt, over, report=self.report(message))
-        self.broker.recorder.barrier(lambda: connection.say(Message("FINISHED", message.tag)))
+        elif request.attempt is not None and request.attempt.server == self.host:
+            if request.state is State.STANDING and message.rc in AFTER:
+                over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
+                self.broker.ended(request.attempt, over, report=self.report(message))
+            elif request.attempt.out and request.attempt.link is not None and message.rc == jsonl.NORMAL:
+                # A server tells the end on the next connection that opens too, ahead of the answer here.
+                self.broker.over_early(request.attempt, confirm)
+                return
+        self.broker.recorder.barrier(confirm)
 
 
 class LobbyServers:
--- a/frostport/state/recorder.py
+++ b/frostport/state/recorder.py
@@ -46,7 +46,7 @@
 
     def elsewhere(self, call: str) -> bool: ...
 
-    def defers(self, call: str, then: Then) -> bool: ...
+    def defers(self, call: str, server: str, then: Then) -> bool: ...
 
 
 def as_bytes(body: Body) -> bytes:
@@ -70,8 +70,8 @@
     def elsewhere(self, call: str) -> bool:
         return self.handover is not None and self.handover.elsewhere(call)
 
-    def defers(self, call: str, then: Then) -> bool:
-        return self.handover is not None and self.handover.defers(call, then)
+    def defers(self, call: str, server: str, then: Then) -> bool:
+        return self.handover is not None and self.handover.defers(call, server, then)
 
     def taken_over(self) -> None:
         """The handover is done: what was forgotten meanwhile goes now."""
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -79,7 +79,46 @@
         expect s1 START a
     """,
 }
+TWO_CONNECTIONS = """
+    send c1 START a class=race left=3000 extras=dest:0
+    expect s0 START a
+    send c1 START b class=race left=3000 extras=dest:0
+    expect s0 START b
+    send c1 START c class=race left=3000 extras=dest:0
+    expect s0 START c
+    send s0 FINISH a rc=16 on=c
+    expect c1 nothing
+"""
 ANSWERED = {
+    "an end that overtakes its answer, on another connection: the client hears both": TWO_CONNECTIONS + """
+        send s0 STARTED a blob=table
+        expect c1 STARTED a blob=table
+        expect c1 FINISH a rc=16
+        expect s0 FINISHED a
+        expect s0 FINISH a rc=16
+        send c1 FINISHED a
+        expect agent open 2
+    """,
+    "an end whose answer never comes: a failure, and no further attempt": TWO_CONNECTIONS + """
+        send s0 FINISH b rc=34
+        expect s1 START b
+        send s0 FINISH c rc=34
+        expect s1 START c
+        close s0
+        expect c1 FINISH a rc=41
+        expect agent open 2
+        wait 600
+        expect s1 nothing
+    """,
+    "an end whose answer never comes, the client gives up: no call stands": TWO_CONNECTIONS + """
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        expect s0 FINISHED a
+        send s0 STARTED a blob=table
+        expect s0 FINISH a rc=16
+        expect c1 FINISHED a
+        expect c1 nothing
+    """,
     "a client whose third set-up can't be read hears of its others before the close": """
         send c1 START a class=race left=3000 extras=dest:0
         expect s0 START a
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -150,6 +150,18 @@
         expect c1 nothing
         send old ends
     """,
+    "and an answer told again, with the old process gone before its last look": """
+        send old open a
+        wait 100
+        send s0 STARTED a blob=x
+        expect s0 nothing
+        send old stands a
+        send old ends
+        wait 100
+        expect agent standing 1
+        send s0 FINISH a rc=16
+        expect agent standing 0
+    """,
     "and the old process is gone with the attempt out": """
         send old open a
         send s0 FINISH a rc=16
