Our close of a client's connection waits for answers that wait for their record

Need: every request taken gets one whole final answer before we close its connection (third malformed set-up, half a line, a set-up that came again, a refused team).

Cause, found by reading: net/front.py hang_up gave the connection up at once. With a store, an answer leaves only when its record is written, some ms later: the connection then took nothing more, and neither the failures just given nor an answer that waited was heard; a call of such an answer stood at its server until that ended it.

The close goes through the recorder's barrier, behind those answers; nothing more is heard on the connection meanwhile, and no release is told there. A disk that hangs holds it for stall_ms at most, as it holds answers.

Without a store nothing changes: the barrier goes on at once. Red without the change: the new scenario.

--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -219,14 +219,20 @@
 
     def usable(self) -> bool:
         """Whether a release may be told here."""
-        return self.alive and self.spoke and not self.stuck
+        return self.alive and not self.ending and self.spoke and not self.stuck
 
     def hang_up(self) -> None:
-        """Closes once what was said has left; each set-up still open here is answered first."""
-        if self.alive:
+        """Closes once what was said has left; each set-up still open here is answered first.
+
+        An answer may wait for its record: the close comes after it. Nothing more is heard meanwhile."""
+        if self.alive and not self.ending:
+            self.ending = True
             for request in list(self.open.values()):
                 self.front.broker.fail(request)
-        if self.alive:  # else it was left as idle with the last of those answers
+            self.front.broker.recorder.barrier(self._close)
+
+    def _close(self) -> None:
+        if self.alive:
             self.alive = False
             self.transport.unregisterProducer()
             self.transport.loseConnection()
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -153,6 +153,7 @@
         self.lines = Lines(longest)
         self.alive = False
         self.gone = False  # the other side has closed; what was read before is still handled
+        self.ending = False  # we close it once what is owed on it is said; nothing more is heard on it
         self.released: Callable[[], None] = lambda: None  # its descriptor is free again
         self.stuck = False  # what is written waits for the other side to read: nothing more is read from it
         self.turns = 0  # how often something was read: lines of one turn were written before they were read
@@ -167,7 +168,7 @@
         self.opened()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.alive:
+        if self.alive and not self.ending:
             self.turns += 1
             lines = self.ahead(self.lines.feed(data))
             self._waiting.extend(lines)
@@ -176,7 +177,7 @@
                 self._work()
             else:
                 self._hold_back()
-            if self.alive:
+            if self.alive and not self.ending:
                 self.read()
 
     def _work(self, most: int = LINES_A_TURN) -> None:
@@ -184,12 +185,12 @@
         allowed.
 
         Guards against a peer that writes at full speed: it would keep the agent from everyone else."""
-        while self._waiting and self.alive and most:
+        while self._waiting and self.alive and most and not self.ending:
             most -= 1
             line, oversize = self._waiting.popleft()
             self._ahead -= len(line)
             self._one(line, oversize)
-        if self._waiting and self.alive and self._again is None:
+        if self._waiting and self.alive and not self.ending and self._again is None:
             self._again = self.deadlines.set(self.clock.now(), self._more)
         self._hold_back()
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -394,6 +394,27 @@
         expect c1 STARTED a
         expect s0 FINISH a rc=16
     """,
+    "we close a connection with answers that wait for the disk: they leave before the close": OUT + """
+        send c1 START b class=race left=8000 extras=dest:1 blob=x
+        expect s1 START b
+        send disk hold
+        send s0 STARTED a blob=table
+        send c1 START c class=none left=3000
+        expect c1 FINISH c rc=42
+        send c1 START d class=none left=3000
+        expect c1 FINISH d rc=42
+        send c1 START e class=none left=3000
+        expect c1 FINISH e rc=42
+        send c1 START f class=race left=8000 extras=dest:1 blob=x
+        expect c1 nothing
+        send disk free
+        expect c1 STARTED a blob=table
+        expect c1 FINISH b rc=41
+        expect c1 closed
+        expect s1 FINISH b rc=16
+        expect s1 nothing
+        expect agent standing 1
+    """,
     "a client that closes unheard while its set-up waits for the disk: nothing goes": """
         send c1 ECHO 1 rc=0
         expect c1 ECHOED
