A client that does not read is still heard: its give-ups stop what waits for it

Need: a client that cancelled has gone wherever its request waits, also on a connection whose reading is paused.

Cause, found by reading: net/front.py pauseProducing stopped reading from a client that does not read its answers (64 KiB wait, up to 2 s): its give-up lay unread, and a held call's next attempt began (the close was told by POLLRDHUP already, a give-up by nothing). Its lines wait now instead: they are read ahead within the same 64 KiB, a give-up of an open set-up is handled at once, one of a set-up that waits stops it, and nothing is begun for it until it reads.

The scenario's wire handed data to a reader that had paused, so no scenario could show this; it holds it now, as a reactor does. The existing scenarios (no answer within 2 s of not reading: closed; a flood of lines: paused) hold as they were. Red without the change: the new scenario, at the next attempt after the give-up.

--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -99,17 +99,18 @@
     # As the producer of what is written to it
 
     def pauseProducing(self) -> None:  # noqa: N802 (Twisted's name)
-        """Guards against a client that asks and does not read: no more is read from it until it does."""
+        """Guards against a client that asks and does not read: nothing is begun for it until it does.
+
+        What is read ahead meanwhile tells of its give-ups."""
         self.stuck = True
         if self.alive:
-            self.transport.pauseProducing()
             self._await(STUCK_MS)
 
     def resumeProducing(self) -> None:  # noqa: N802
         self.stuck = False
         if self.alive:
             self._await(None)
-            self.read_on()
+            self.go_on()
 
     def stopProducing(self) -> None:  # noqa: N802
         pass
@@ -120,7 +121,7 @@
         """Guards against an attempt for a set-up that is given up already, in lines read and not handled.
 
         A give-up of an open set-up is handled at once; one of a set-up that waits here stops it."""
-        if not self._waiting and len(lines) < 2:
+        if not self.stuck and not self._waiting and len(lines) < 2:
             return lines
         later = []
         for line, oversize in lines:
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -155,7 +155,7 @@
         self.gone = False  # the other side has closed; what was read before is still handled
         self.ending = False  # we close it once what is owed on it is said; nothing more is heard on it
         self.released: Callable[[], None] = lambda: None  # its descriptor is free again
-        self.stuck = False  # what is written waits for the other side to read: nothing more is read from it
+        self.stuck = False  # what is written waits for the other side to read: its lines are not handled
         self.turns = 0  # how often something was read: lines of one turn were written before they were read
         self._waiting: deque[tuple[bytes, bool]] = deque()
         self._ahead = 0  # bytes of the lines that wait
@@ -185,15 +185,22 @@
         allowed.
 
         Guards against a peer that writes at full speed: it would keep the agent from everyone else."""
-        while self._waiting and self.alive and most and not self.ending:
+        while self._waiting and most and self._handles():
             most -= 1
             line, oversize = self._waiting.popleft()
             self._ahead -= len(line)
             self._one(line, oversize)
-        if self._waiting and self.alive and not self.ending and self._again is None:
-            self._again = self.deadlines.set(self.clock.now(), self._more)
+        self.go_on()
         self._hold_back()
 
+    def _handles(self) -> bool:
+        return self.alive and not self.ending and (self.gone or not self.stuck)
+
+    def go_on(self) -> None:
+        """Lines that wait are handled in their turn, if nothing stands against it."""
+        if self._waiting and self._handles() and self._again is None:
+            self._again = self.deadlines.set(self.clock.now(), self._more)
+
     def _hold_back(self) -> None:
         if self._waiting and self.alive and self._ahead >= self.read_ahead:
             self.transport.pauseProducing()
@@ -207,7 +214,7 @@
 
     def read_on(self) -> None:
         """Reads again, unless something still stands against it."""
-        if not self.stuck and (not self._waiting or self._ahead < self.read_ahead):
+        if not self._waiting or self._ahead < self.read_ahead:
             self.transport.resumeProducing()
 
     def _one(self, line: bytes, oversize: bool) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -52,6 +52,7 @@
         self.other: Wire | None = None
         self.producer: Any = None
         self.paused = False
+        self.unread: list[bytes] = []  # what came while its reader was paused
 
     def write(self, data: bytes) -> None:
         other = self.other
@@ -59,6 +60,9 @@
             self.world.later.append(lambda: other.deliver(data))
 
     def deliver(self, data: bytes) -> None:
+        if self.paused:
+            self.unread.append(data)
+            return
         self.protocol.heard_on = self
         self.protocol.dataReceived(data)
 
@@ -76,6 +80,9 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         self.paused = False
+        unread, self.unread = self.unread, []
+        for data in unread:
+            self.world.later.append(partial(self.deliver, data))
 
     def loseConnection(self) -> None:  # noqa: N802 (Twisted's name)
         for end in (self, self.other):
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -44,6 +44,20 @@
         expect s0 START a
         expect s1 nothing
     """,
+    "cancelled by one that does not read, held by the module: heard, and what it asks meanwhile is not begun":
+    HELD + """
+        send c1 stuck
+        send c1 START b class=race left=3000 extras=dest:0
+        send c1 FINISH a rc=16
+        wait 400
+        expect s0 nothing
+        expect s1 nothing
+        expect agent open 0
+        send c1 unstuck
+        wait 1
+        expect s0 START b
+        expect s0 nothing
+    """,
     "closed, waiting for the release guard": RESET + """
         close c1 unheard
         wait 800
