Real sockets: idle clients fill the table, discovery comes back, and falls silent

One program with 64 descriptors: idle clients take all that they get while discovery is down, until one has to make room; the list service then comes up, is dialled, says nothing, and is dialled again; its event brings a second server, which is dialled and takes the new calls, and the first one drains. Each step waits for the event before it.

--- a/tests/test_real_ends.py
+++ b/tests/test_real_ends.py
@@ -17,6 +17,7 @@
 from tests.test_sigkill import PATIENCE_S, ended, up
 
 GUARD_MS = 300.0
+SOCKETS = 64  # descriptors that the agent may have
 
 
 class Server:
@@ -25,6 +26,7 @@
     def __init__(self) -> None:
         self.came: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.heard: list[tuple[str, str]] = []
+        self.bus = free_ports(1)[0]  # where nobody listens until a play does
 
     async def start(self) -> int:
         self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -70,7 +72,8 @@
     port, at = free_ports(1)[0], folder / "config.json"
     record = configuration(port, [await server.start()])
     record["settings"]["services"] = [{"name": "race", "aim-ms": 400.0, "deadline-ms": deadline_ms}]
-    record["settings"]["family-info"]["release-guard-ms"] = GUARD_MS
+    record["settings"]["family-info"].update({"release-guard-ms": GUARD_MS, "pools-by-class": [[0, 1]]})
+    record.update(bus=f"127.0.0.1:{server.bus}", limits={"sockets": SOCKETS})
     at.write_text(json.dumps(record), encoding="utf-8")
     with (folder / "log").open("wb") as log:
         program = await asyncio.create_subprocess_exec(
@@ -143,9 +146,60 @@
     assert await asyncio.wait_for(program.wait(), PATIENCE_S) == 0
 
 
+async def quiet_in_a_full_table(server: Server, port: int, program: asyncio.subprocess.Process) -> None:
+    """Idle clients take all there is while discovery is down; it is back, falls silent, and is asked anew."""
+    idle = []
+    for _ in range(4 * SOCKETS):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        idle.append((reader, writer))
+        say(writer, "ECHO", "0" * 16, rc=0)
+        assert await reader.readline()  # the newest gets in
+        if any(at.at_eof() or at.exception() for at, _ in idle):
+            break  # another has made room for it
+    else:
+        raise AssertionError("the table never was full")
+    asked: asyncio.Queue[tuple[bytes, asyncio.StreamWriter]] = asyncio.Queue()
+
+    async def told(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        asked.put_nowait((await reader.readline(), writer))
+
+    other = Server()
+    hosts = [{"host": f"h{number}", "dial": f"127.0.0.1:{at}", "block": number, "health": health}
+             for number, at, health in ((0, server.listener.sockets[0].getsockname()[1], "draining"),
+                                        (1, await other.start(), "ready"))]
+    bus = await asyncio.start_server(told, "127.0.0.1", server.bus)
+    line, silent = await asyncio.wait_for(asked.get(), PATIENCE_S)
+    assert line == b"from 1\n"
+    line, at = await asyncio.wait_for(asked.get(), PATIENCE_S)  # nothing was written on the first
+    assert line == b"from 1\n"
+    at.write(json.dumps({"offset": 2, "topology": {"hosts": hosts}}).encode() + b"\n")
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    tag = "00000000000000ee"
+    while True:  # until the event has been heard: before, the set-up goes to the one that is to drain
+        start(writer, tag)
+        coming = {asyncio.create_task(each.next()): each for each in (server, other)}
+        done, waiting = await asyncio.wait(coming, return_when=asyncio.FIRST_COMPLETED)
+        for task in waiting:
+            task.cancel()
+        came, on = next(iter(done)).result()
+        say(on, "STARTED", came, blob="y")
+        assert await hear(reader) == ("STARTED", tag)
+        say(writer, "FINISH", tag, rc=16)
+        assert await hear(reader) == ("FINISHED", tag)
+        if coming[next(iter(done))] is other:
+            break
+        tag = f"{int(tag, 16) + 256:016x}"
+    for _, each in idle:
+        each.close()
+    silent.close()
+    bus.close()
+    other.listener.close()
+
+
 PLAYS: dict[str, tuple[Play, float]] = {
     "closed in the guard": (closed_in_the_guard, 4000.0), "many in one write": (many_in_one_write, 4000.0),
-    "told to end twice": (told_to_end, 1000.0)}
+    "told to end twice": (told_to_end, 1000.0),
+    "quiet in a full table": (quiet_in_a_full_table, 4000.0)}
 
 
 @pytest.mark.parametrize("name", PLAYS)
