A drained agent takes a new configuration in: it would resume on a bus that is gone

Need: SIGHUP moving discovery at any moment; a list must not go quiet for good.

Cause, found by reading: agent.py reload did nothing in any phase but serving. An agent that an operator had drained, told of the bus's new address, and resumed went on with the old one, which accepts nobody any more. Lifecycle names the phases that reload now: serving and the three that resume brings back. While the program goes down nothing changes.

Red without the change: the new scenario, which hears nothing on the second bus.

--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -204,7 +204,7 @@
 
     def reload(self) -> None:
         """SIGHUP: reads the whole file again. All of it is valid and in force at once, or nothing changes."""
-        if self.lifecycle.phase is not Phase.SERVING or self.path is None:
+        if not self.lifecycle.reloads() or self.path is None:
             log.info("reload: not while %s", self.lifecycle.phase.value)
             return
         try:
--- a/frostport/core/lifecycle.py
+++ b/frostport/core/lifecycle.py
@@ -44,6 +44,7 @@
 READY = (Phase.SERVING,)  # where ready says yes
 TAKING = (Phase.SERVING, Phase.DRAINING, Phase.DRAINED, Phase.HANDING_OVER, Phase.CLOSING)  # requests taken
 DRAINS = (Phase.DRAINING, Phase.DRAINED, Phase.TURNING_AWAY)  # from which resume brings serving back
+RELOADING = (Phase.SERVING, *DRAINS)  # a drained program may serve again: it must not stay with an old bus
 EMPTYING = (*DRAINS, Phase.HANDING_OVER, Phase.STOPPING)  # connections close once idle
 
 
@@ -77,6 +78,10 @@
         """Whether this process says that it serves: new connections are welcome."""
         return self.phase in READY
 
+    def reloads(self) -> bool:
+        """Whether a new configuration is taken in."""
+        return self.phase in RELOADING
+
     def emptying(self) -> bool:
         """Whether a client connection closes once it holds no request and owes nothing."""
         return self.phase in EMPTYING
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -95,6 +95,16 @@
         expect s0 FINISH a
         expect c1 closed
     """,
+    "a reload while drained moves discovery all the same": """
+        expect bus from 1
+        door drain => OK draining
+        expect agent phase drained
+        send agent hup bus="10.0.1.2:1"
+        expect bus2 from 1
+        expect bus closed
+        door resume => OK serving
+        expect bus2 nothing
+    """,
     "drain and resume said twice change nothing": """
         send c1 ECHO 1 rc=0
         door drain => OK draining
