Diameter: a client that closed while it is not read from has gone, asked of the system

Need: client gone, on every front, also on a connection whose reading is paused (a peer that does not read, 2 s).

It asks too now, through a function that side_diameter.py hands it, as the wires don't know each other. Red without the change: the new scenario, at the next attempt.

--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -59,9 +59,11 @@
 
     def __init__(self, broker: Broker, lifecycle: Lifecycle, identity: Identity, clients: list[str],
                  numbers: dict[str, int], interval_ms: float, chance: random.Random,
-                 gate: Gate) -> None:
+                 gate: Gate, left: Callable[[object], bool] = lambda transport: False) -> None:
+        """`left`: whether the other side of a transport has closed, asked of the system."""
         super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
         self.broker, self.lifecycle, self.numbers, self.gate = broker, lifecycle, numbers, gate
+        self.left = left
         self.by_seat: dict[int, PeerConnection] = {}
         self.sessions: dict[str, Session] = {}
         self.owed: dict[str, tuple[str, Outcome]] = {}  # releases not yet answered: client ("": any), outcome
@@ -255,7 +257,8 @@
 
     def waits(self, request: Request) -> bool:
         session = self.sessions.get(request.id)
-        return session is not None and bool(session.waiting)
+        # Guards against a close that nobody hears while a peer that does not read is not read from.
+        return session is not None and not all(self.left(link.transport) for link, _ in session.waiting)
 
     def stands(self, request: Request, description: Body) -> None:
         assert isinstance(description, bytes)
--- a/frostport/side_diameter.py
+++ b/frostport/side_diameter.py
@@ -11,6 +11,7 @@
 from frostport.diameter.front import DiameterFront
 from frostport.diameter.peer import Identity
 from frostport.diameter.route import DiameterRoute
+from frostport.net import liveness
 from frostport.net.peers import split
 from frostport.sides import Accept, Parts
 
@@ -30,7 +31,7 @@
         chance = random.Random(config.seed)
         numbers = {server.host: server.number for server in wanted.servers}
         self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
-                                   wanted.watchdog_ms, chance, agent.gate)
+                                   wanted.watchdog_ms, chance, agent.gate, liveness.closed)
         self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
                                    wanted.sessions_lost_ms, chance, agent.connect)
         agent.broker.route = self.route
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -123,6 +123,16 @@
         expect c1 closed
         expect s0 CCR-T a
     """,
+    "a client that closed, heard by the system alone, held for a retry: nothing begins for it": SET_UP + """
+        send s0 CCA a result=3004
+        expect s1 CCR-I a
+        send s1 CCA a result=3004
+        close c1 unheard
+        wait 400
+        expect s0 nothing
+        expect s1 nothing
+        expect agent open 0
+    """,
     "duplicates without end": SET_UP + 7 * """
         send c1 CCR-I a dest=s0 wait=3000
     """ + """
