An end on the attempt's own connection can't overtake its answer: it is passed over

On the connection that the attempt went out on, what is read before the answer was written before it: another word on an earlier attempt, a second answer that came with a refusal, say. Red without the change: the new scenario, whose call was ended with its answer.

--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -393,8 +393,10 @@
             if request.state is State.STANDING and message.rc in AFTER:
                 over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
                 self.broker.ended(request.attempt, over, report=self.report(message))
-            elif request.attempt.out and request.attempt.link is not None and message.rc == jsonl.NORMAL:
-                # A server tells the end on the next connection that opens too, ahead of the answer here.
+            elif request.attempt.out and request.attempt.link not in (None, connection.slot) \
+                    and message.rc == jsonl.NORMAL:
+                # A server tells the end on the next connection that opens too, where it may be read before the
+                # answer. On the answer's own it can't be: there it is another word on an earlier attempt.
                 self.broker.over_early(request.attempt, confirm)
                 return
         self.broker.recorder.barrier(confirm)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,8 @@
 from frostport.sides import PlatformSide
 from tests.scenario import START_MS, Nobody, Wire, event, host, platform, play
 
+REFUSED_AND_OVER = r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":102}\n' \
+                   r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n'
 SET_UP = """
     send c1 START a class=race left=3000 key=07 extras=dest:0;width:1;via:-1 blob=sdp
     expect s0 START a class=race left=3000 key=07 blob=sdp
@@ -429,6 +431,13 @@
         send s0 STARTED a blob=late on=b
         expect s0 nothing
     """,
+    "an end read with a refusal is none of the attempt that follows on the same connection": SET_UP + """
+        send s0 raw """ + REFUSED_AND_OVER + """
+        expect s0 START a
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        expect c1 nothing
+    """,
     "a second copy of an answer, and one under an unknown id, change nothing": SET_UP + """
         send s0 STARTED e blob=noise
         expect s0 FINISH e rc=16
