--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -395,8 +395,8 @@
                 self.broker.ended(request.attempt, over, report=self.report(message))
             elif request.attempt.out and request.attempt.link not in (None, connection.slot) \
                     and message.rc == jsonl.NORMAL:
-                # A server tells the end on the next connection that opens too, where it may be read before the
-                # answer. On the answer's own it can't be: there it is another word on an earlier attempt.
+                # A server tells the end on the next connection that opens too, where it may be read before
+                # the answer. On the answer's own it can't be: another word on an earlier attempt.
                 self.broker.over_early(request.attempt, confirm)
                 return
         self.broker.recorder.barrier(confirm)
