Real sockets: a client closes behind a dial that comes up late

A lobby server whose queue of connections is full takes the agent's dial with the system's next try, a second later; the client whose set-up waits for it has closed by then, and only the next client's goes out. No dial is given up in these plays: connect-timeout-ms is long in them.

--- a/tests/test_real_ends.py
+++ b/tests/test_real_ends.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -51,6 +52,22 @@
         return await asyncio.wait_for(self.came.get(), PATIENCE_S)
 
 
+class Late(Server):
+    """Its queue of connections is full: dials come up once it is let go, with the system's next try (1 s)."""
+
+    async def start(self) -> int:
+        self.held = socket.socket()
+        self.held.bind(("127.0.0.1", 0))
+        self.held.listen(0)
+        at: tuple[str, int] = self.held.getsockname()
+        self.filler = socket.create_connection(at)
+        return at[1]
+
+    async def let_go(self) -> None:
+        self.listener = await asyncio.start_server(self.serve, sock=self.held)
+        self.filler.close()
+
+
 def say(writer: asyncio.StreamWriter, verb: str, tag: str, **more: Any) -> None:
     writer.write(json.dumps({"verb": verb, "tag": tag, "opts": {}, **more}).encode() + b"\n")
 
@@ -68,10 +85,11 @@
 
 
 async def played(folder: pathlib.Path, play: Play, deadline_ms: float) -> None:
-    server = Server()
+    server = Late() if play is closed_behind_a_dial else Server()
     port, at = free_ports(1)[0], folder / "config.json"
     record = configuration(port, [await server.start()])
     record["settings"]["services"] = [{"name": "race", "aim-ms": 400.0, "deadline-ms": deadline_ms}]
+    record["settings"]["caps"]["connect-timeout-ms"] = 1000.0 * PATIENCE_S  # none is given up in these plays
     record["settings"]["family-info"].update({"release-guard-ms": GUARD_MS, "pools-by-class": [[0, 1]]})
     record.update(bus=f"127.0.0.1:{server.bus}", limits={"sockets": SOCKETS})
     at.write_text(json.dumps(record), encoding="utf-8")
@@ -134,6 +152,25 @@
     assert await hear(reader) == ("FINISHED", come[0])
 
 
+async def closed_behind_a_dial(server: Server, port: int, program: asyncio.subprocess.Process) -> None:
+    gone, staying = "00000000000000aa", "00000000000000bb"
+    reader, one = await asyncio.open_connection("127.0.0.1", port)
+    start(one, gone)
+    say(one, "ECHO", "0" * 16, rc=0)
+    assert (await hear(reader))[0] == "ECHOED"  # its set-up waits for the dial now
+    one.close()
+    reader, other = await asyncio.open_connection("127.0.0.1", port)
+    start(other, staying)
+    assert isinstance(server, Late)
+    await server.let_go()
+    tag, at = await server.next()
+    say(at, "STARTED", tag, blob="y")
+    assert (tag, await hear(reader)) == (staying, ("STARTED", staying))
+    assert gone not in [tag for _, tag in server.heard]
+    say(other, "FINISH", staying, rc=16)
+    assert await hear(reader) == ("FINISHED", staying)
+
+
 async def told_to_end(server: Server, port: int, program: asyncio.subprocess.Process) -> None:
     tag = "00000000000000dd"
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -198,7 +235,7 @@
 
 PLAYS: dict[str, tuple[Play, float]] = {
     "closed in the guard": (closed_in_the_guard, 4000.0), "many in one write": (many_in_one_write, 4000.0),
-    "told to end twice": (told_to_end, 1000.0),
+    "told to end twice": (told_to_end, 1000.0), "closed behind a dial": (closed_behind_a_dial, 4000.0),
     "quiet in a full table": (quiet_in_a_full_table, 4000.0)}
 
 
