--- a/tests/test_sigkill.py
+++ b/tests/test_sigkill.py
@@ -18,8 +18,8 @@
 
 KILLS, CLIENTS = 50, 6
 PATIENCE_S = 20.0
-# A disk that hangs for longer than stall_ms lets answers go without their record, by design (test_recovery.py:
-# a disk that hangs): what is asked here is what the store promises while its disk answers, however late.
+# A disk that hangs for longer than stall_ms lets answers go without their record, by design (a scenario of
+# test_recovery.py): what is asked here is what the store promises while its disk answers, however late.
 STORE = {"path": "s.store", "stall_ms": 1000.0 * PATIENCE_S}
 
 
