A set-up given up in the same write begins no attempt under an id that is over, either

Only what a repeated set-up can be answered from counts: a call open, standing, ending or owed its end, here or in the process before. Red without the change: the new scenario, whose server heard START and FINISH.

--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -323,11 +323,11 @@
     # From clients
 
     def fresh(self, call: str) -> bool:
-        """Whether nothing is known of this id: no call open, standing, ending or over, here or in the process
-        before this one."""
+        """Whether a set-up of this id would begin a call: none is open, standing, ending or owed its end,
+        here or in the process before this one."""
         broker = self.broker
         return (broker.find(call) is None and call not in broker.ending and call not in self.owed
-                and call not in broker.ended_ids and not broker.recorder.elsewhere(call))
+                and not broker.recorder.elsewhere(call))
 
     def start(self, connection: ClientConnection, message: Message) -> None:
         broker, tag, opts = self.broker, message.tag, message.opts
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -29,6 +29,9 @@
     expect s0 START a
     send s0 FINISH a rc=41
 """
+ASKED_AND_GIVEN_UP = (
+    r'{"verb":"START","tag":"000000000000000a","opts":{"class":"race","left":"3000"},"blob":"x"}\n'
+    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n')
 GONE = {
     "closed, held by the module": HELD + """
         close c1 unheard
@@ -58,6 +61,16 @@
         expect s0 START b
         expect s0 nothing
     """,
+    "cancelled in one write with its set-up, under an id that is over": """
+        send c1 START a class=race left=3000 extras=dest:0
+        expect s0 START a
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        wait 600
+        send c1 raw """ + ASKED_AND_GIVEN_UP + """
+        expect s0 nothing
+        expect c1 FINISHED a
+    """,
     "closed, waiting for the release guard": RESET + """
         close c1 unheard
         wait 800
