The fleet's record of a long catch-up is one line a turn: none is lost, none is pushed out

Cause: not the agreed log but its record. fleet.py wrote one line for each entry applied; the record holds 10,000 lines that wait and 16 MiB a file, so 100,000 entries lost lines or pushed them into a second file, which the check does not read. Measured on the code before, beside a load: of 100,000 entries applied at each of three voters their files had 5,815, 3,699 and 1,421, and a second file each. A line that says "acknowledged" may stay where that of "applied" is gone.

A turn's entries (100 at most) are one line now: {"event": "applied", "ids": {index: id}}. The rig's reader passes over a last line that is still being written, as it reads beside the writer.

--- a/frostport/fleet.py
+++ b/frostport/fleet.py
@@ -239,11 +239,14 @@
     def _apply(self) -> None:
         """A part of what is committed, the rest in later turns: an agent that catches up serves meanwhile."""
         before = self.applying.held
-        for id, index in self.applying.step(APPLIED_A_TURN):
+        done = self.applying.step(APPLIED_A_TURN)
+        if ids := {str(index): id for id, index in done if index >= 0}:
+            # One line a turn. Guards the record against a long catch-up: a line an entry filled its queue,
+            # where lines are lost, and its files, where they push out what came before.
+            self.record.event("applied", ids=ids, digest=self.machine.digest)
+        for id, _ in done:
             if (then := self.reads.pop(id, None)) is not None:
                 then()
-            if index >= 0:
-                self.record.event("applied", index=index, id=id, digest=self.machine.digest)
             self._done(id)
         if self.applying.held not in ("", before):
             log.error("fleet: applied no further than %d: %s", self.applying.index, self.applying.held)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -366,7 +366,8 @@
 
     def records(self, name: str) -> list[dict[str, Any]]:
         path = self.folder / f"{name}.jsonl"
-        return [json.loads(line) for line in path.read_text(encoding="utf-8").splitlines()]
+        whole, _, _ = path.read_text(encoding="utf-8").rpartition("\n")  # the last line may be under way
+        return [json.loads(line) for line in whole.splitlines()]
 
     async def check(self) -> None:
         """One leader a term; one order everywhere; every acknowledged command in it."""
@@ -384,7 +385,8 @@
                     assert leaders.setdefault(line["term"], name) == name, f"two leaders in {line['term']}"
                 elif line["event"] == "applied":
                     order = orders.setdefault(name, {})
-                    assert order.setdefault(line["index"], line["id"]) == line["id"]
+                    for index, id in line["ids"].items():
+                        assert order.setdefault(int(index), id) == id
                 elif line["event"] == "acknowledged":
                     acknowledged.add(line["id"])
         whole: dict[int, str] = {}
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -249,7 +249,8 @@
 
     await rig.until("the store has failed", failed)
     await rig.ask("n0", "agreed")
-    assert not told("applied", id=id) and not await acknowledged() and rig.refused("n0")
+    assert not any(id in line.get("ids", {}).values() for line in rig.records("n0"))  # not applied
+    assert not await acknowledged() and rig.refused("n0")
     rig.room("n0")
     await rig.until("it is acknowledged", acknowledged)
 
@@ -275,6 +276,12 @@
     await rig.until("the follower has all", whole)
     assert any(line["event"] == "installed" for line in rig.records(back))
 
+    async def recorded() -> bool:
+        return all(sum(len(line.get("ids", ())) for line in rig.records(name)) >= 100_000
+                   for name in rig.voters)
+
+    await rig.until("the voters' records have each entry", recorded)
+
 
 async def clocks_apart_and_one_set_back(rig: Rig) -> None:
     """Nothing between agents rests on the time of day; one is started again an hour earlier."""
