A client closed for not reading: what it released before is released

Need: nothing is left standing that its client has released.

Cause, found on reading the change again: since its lines wait while a client does not read, releases among them were dropped with the connection after 2 s; before, those not yet read were. The 2 s end like a close now: what was read before still counts, and no set-up begins. Red without the change: the new scenario.

--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -104,7 +104,13 @@
         What is read ahead meanwhile tells of its give-ups."""
         self.stuck = True
         if self.alive:
-            self._await(STUCK_MS)
+            self._await(STUCK_MS, self._unread)
+
+    def _unread(self) -> None:
+        """It has not read for too long. Guards releases among lines that wait: they count as on a close."""
+        self.gone = True
+        self._work(len(self._waiting))
+        self.drop()
 
     def resumeProducing(self) -> None:  # noqa: N802
         self.stuck = False
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -159,6 +159,22 @@
         expect c1 closed
         expect s0 FINISH a rc=16
     """,
+    "a client that does not read for 2 s is closed; what it released meanwhile is released": """
+        send c1 START a class=race left=8000 extras=dest:0
+        expect s0 START a
+        send s0 STARTED a blob=answer
+        expect c1 STARTED a
+        send c1 stuck
+        send c1 START b class=race left=8000 extras=dest:0
+        send c1 FINISH a rc=16
+        wait 1999
+        expect s0 nothing
+        wait 2
+        expect c1 FINISHED a
+        expect c1 closed
+        expect s0 FINISH a rc=16
+        expect s0 nothing
+    """,
     "a client that stops in a line hears of its set-ups before the close": """
         send c1 START a class=race left=8000 extras=dest:0
         expect s0 START a
