Real sockets: the late server's listener is there from the start, not serving yet

Found on a second reading: a play that failed before the server was let go would have had its verdict hidden by the clean-up, which closes a listener that did not exist.

--- a/tests/test_real_ends.py
+++ b/tests/test_real_ends.py
@@ -56,15 +56,16 @@
     """Its queue of connections is full: dials come up once it is let go, with the system's next try (1 s)."""
 
     async def start(self) -> int:
-        self.held = socket.socket()
-        self.held.bind(("127.0.0.1", 0))
-        self.held.listen(0)
-        at: tuple[str, int] = self.held.getsockname()
+        held = socket.socket()
+        held.bind(("127.0.0.1", 0))
+        held.listen(0)
+        at: tuple[str, int] = held.getsockname()
         self.filler = socket.create_connection(at)
+        self.listener = await asyncio.start_server(self.serve, sock=held, start_serving=False)
         return at[1]
 
     async def let_go(self) -> None:
-        self.listener = await asyncio.start_server(self.serve, sock=self.held)
+        await self.listener.start_serving()
         self.filler.close()
 
 
