Real sockets: set-ups and their give-ups go in one write, as the play says

Its 240 lines were as many writes; an agent with a core of its own read over 100 set-ups before the first give-up was written, and refused the 101st, as the limit of 100 open on one connection has it.

--- a/tests/test_real_ends.py
+++ b/tests/test_real_ends.py
@@ -69,12 +69,20 @@
         self.filler.close()
 
 
+def line(verb: str, tag: str, **more: Any) -> bytes:
+    return json.dumps({"verb": verb, "tag": tag, "opts": {}, **more}).encode() + b"\n"
+
+
+def set_up(tag: str, left: float = 4000.0) -> bytes:
+    return line("START", tag, opts={"class": "race", "left": str(left)}, blob="x")
+
+
 def say(writer: asyncio.StreamWriter, verb: str, tag: str, **more: Any) -> None:
-    writer.write(json.dumps({"verb": verb, "tag": tag, "opts": {}, **more}).encode() + b"\n")
+    writer.write(line(verb, tag, **more))
 
 
 def start(writer: asyncio.StreamWriter, tag: str, left: float = 4000.0) -> None:
-    say(writer, "START", tag, opts={"class": "race", "left": str(left)}, blob="x")
+    writer.write(set_up(tag, left))
 
 
 async def hear(reader: asyncio.StreamReader) -> tuple[str, str]:
@@ -134,10 +142,8 @@
     """A turn's lines, set-ups among them, and their give-ups behind them, all written before any is read."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     tags = [f"{number:016x}" for number in range(1, 121)]
-    for tag in tags:
-        start(writer, tag)
-    for tag in tags:
-        say(writer, "FINISH", tag, rc=16)
+    # One write: line by line, over 100 could be read before the first give-up is written, and one be refused.
+    writer.write(b"".join([set_up(tag) for tag in tags] + [line("FINISH", tag, rc=16) for tag in tags]))
     heard = [await hear(reader) for _ in tags]
     assert sorted(heard) == [("FINISHED", tag) for tag in tags]  # no answer to any of them
     start(writer, "00000000000000cc")
