Diameter: a silent peer's calls end within 8 s by the same failure detector

Cause: a peer's silence is noticed by its watchdog alone, after 12 s and more (RFC 3539's least), and calls ended sessions_lost_ms after the loss of its connection, 8.0 s by default and so past the limit. Change: DiameterRoute looks at each peer's ServerLiveness; a quiet peer with standing calls gets a DWR of its own; a connection of the same Origin-State-Id counts as the same process. sessions_lost_ms still shortens it.

--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -114,6 +114,7 @@
         self.state = Link.CLOSED
         self.host, self.realm = called or "?", ""
         self.state_id: int | None = None
+        self.process_seen_ms = 0.0  # since when the peer's process is known to go on, ms
         self.slot = self.caller = -1
         self.seat: Seat | None = None  # where the peer calls
         self.released: Callable[[], None] = lambda: None  # its descriptor is free again
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -13,6 +13,14 @@
 from frostport.core.broker import Broker
 from frostport.core.calls import Attempt, Front, Request, State
 from frostport.core.deadlines import Deadline
+from frostport.core.server_liveness import (
+    PAUSE_MS,
+    PERIOD_MS,
+    AskForLife,
+    CallsLost,
+    ServerLiveness,
+    Suspected,
+)
 from frostport.diameter import avp
 from frostport.diameter.avp import Message, make
 from frostport.diameter.front import carried
@@ -29,8 +37,9 @@
 class ServerPeer(Peer):
     """A lobby server: what is out on its connection, and what the module was told of it."""
 
-    def __init__(self, entry: DiameterServer) -> None:
+    def __init__(self, entry: DiameterServer, liveness: ServerLiveness) -> None:
         super().__init__(entry.host)
+        self.liveness = liveness
         self.entry = entry
         self.out: dict[int, Attempt] = {}  # by hop-by-hop id
         self.owed: list[str] = []  # sessions to be ended once it is back
@@ -54,14 +63,18 @@
         self.servers: dict[str, ServerPeer] = {}
         self.version = 0
         self.ending = False
+        self._looked_at_ms = broker.clock.now()
         for entry in servers:
-            self.servers[entry.host] = ServerPeer(entry)
+            liveness = ServerLiveness(broker.clock.now(), sessions_lost_ms)
+            self.servers[entry.host] = ServerPeer(entry, liveness)
             self.add(self.servers[entry.host])
 
     def start(self) -> None:
         self.broker.listed(ListKind.PERSISTED, self.version, [])  # each joins once it has been reached
         for server in self.servers.values():
             self.dial(server)
+        self._looked_at_ms = self.clock.now()
+        self.deadlines.set(self._looked_at_ms + PERIOD_MS, self._look)
 
     def dial(self, server: ServerPeer) -> None:
         if server.link is not None or server.dialing is not None or self.ending:
@@ -104,6 +117,9 @@
         if server.lost is not None:
             server.lost.cancel()
         before, server.state_id = server.state_id, link.state_id
+        # The same Origin-State-Id says that the process goes on (RFC 6733, section 8.16).
+        same_process = before is not None and before == link.state_id
+        link.process_seen_ms = 0.0 if same_process else self.clock.now()
         if before is not None and link.state_id is not None and link.state_id > before:
             self.broker.cut(server.host, self.clock.now(), "a new process: its sessions are gone")
             for call in server.owed:
@@ -179,6 +195,54 @@
         self.broker.cut(server.host, self.clock.now(), "away too long")
         self.tell(server, Lifecycle.GONE)
 
+    # Liveness
+
+    def watchdog(self, link: PeerConnection, answered: bool) -> None:
+        super().watchdog(link, answered)
+        server = self.servers.get(link.host)
+        if server is not None and server.link is link \
+                and server.liveness.heard(self.clock.now(), link.process_seen_ms):
+            log.info("%s: liveness: suspected -> alive", server.host)
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        paused = now - self._looked_at_ms > PAUSE_MS
+        self._looked_at_ms = now
+        for server in self.servers.values():
+            if paused:
+                server.liveness.paused(now)
+            if server.liveness.quiet(now):
+                self._look_at(server, now)
+        self.deadlines.set(now + PERIOD_MS, self._look)
+
+    def _look_at(self, server: ServerPeer, now_ms: float) -> None:
+        for action in server.liveness.look(now_ms, self.broker.calls_stand(server.host)):
+            match action:
+                case Suspected(since_ms):
+                    log.warning("%s: liveness: alive -> suspected, nothing heard for %.0f ms", server.host,
+                                now_ms - since_ms)
+                    self.broker.tally.suspected(server.host)
+                case AskForLife():
+                    self._ask_for_life(server)
+                case CallsLost(since_ms, stood_by_ms):
+                    self._calls_lost(server, since_ms, stood_by_ms)
+
+    def _ask_for_life(self, server: ServerPeer) -> None:
+        """A watchdog request beside the watchdog's own, whose interval RFC 3539 does not let go under 6 s."""
+        link = server.open()
+        if link is not None:
+            link.ask(avp.DW, [*self.identity.avps(), make(avp.ORIGIN_STATE_ID, self.identity.state_id)])
+
+    def _calls_lost(self, server: ServerPeer, since_ms: float, stood_by_ms: float) -> None:
+        silent_ms = self.clock.now() - since_ms
+        log.warning("%s: liveness: suspected -> lost, silent for %.0f ms", server.host, silent_ms)
+        over = self.broker.cut(server.host, stood_by_ms, f"silent for {silent_ms:.0f} ms")
+        link = server.open()
+        if link is not None and link.process_seen_ms <= since_ms:
+            link.drop()
+        for call in over:
+            self._end_session(server, call)
+
     # From the broker
 
     def send(self, attempt: Attempt) -> None:
--- /dev/null
+++ b/tests/test_silent_server.py
@@ -0,0 +1,88 @@
+"""Servers that fall silent with calls standing on them, on a set clock: vanished, cut off, replaced."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scenario import platform, play
+
+STANDS = """
+    send c1 START a class=race left=3000 extras=dest:0
+    expect s0 START a
+    send s0 STARTED a blob=x
+    expect c1 STARTED a
+"""
+SCENARIOS = {
+    "a server that vanishes: its caller is told within 8 s, and not before 7": STANDS + """
+        close s0 silent
+        wait 6900
+        expect c1 nothing
+        wait 1050
+        expect c1 FINISH a rc=41
+    """,
+    "one that was only cut off, and speaks on its old connection: the call stays": STANDS + """
+        close s0 silent
+        wait 6500
+        expect c1 nothing
+        send s0 LOAD 0 load=x0:5;x1:9
+        wait 1400
+        expect c1 nothing
+        send c1 FINISH a rc=16
+        expect c1 FINISHED a
+    """,
+    "one that is back after the limit is told that the call is over": STANDS + """
+        close s0 silent
+        wait 8000
+        expect c1 FINISH a rc=41
+        expect s0 closed
+        send s0 alive
+        wait 1100
+        expect s0 FINISH a rc=16
+    """,
+    "a release that no server confirmed is said again where its connection breaks": STANDS + """
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        close s0
+        wait 600
+        expect s0 FINISH a rc=16
+        send s0 FINISHED a
+        close s0
+        wait 600
+        expect s0 nothing
+    """,
+    "one that is confirmed is not": STANDS + """
+        send c1 FINISH a rc=16
+        expect s0 FINISH a rc=16
+        send s0 FINISHED a
+        close s0
+        wait 600
+        expect s0 nothing
+    """,
+    "a lost connection is dialed until one comes up, while another is open": STANDS + """
+        send c1 START b class=race left=9000 extras=dest:0
+        expect s0 START b
+        send c1 START c class=race left=9000 extras=dest:0
+        expect s0 START c
+        expect agent dials 4
+        close s0 silent
+        send s0 raw {"verb":"STARTED"
+        wait 300
+        expect s0 closed
+        wait 4000
+        expect agent dials 9
+        send s0 alive
+        wait 2600
+        expect agent dials 12
+    """,
+}
+
+
+@pytest.mark.parametrize("probes", [True, False], ids=["probes", "no probes"])
+@pytest.mark.parametrize("name", list(SCENARIOS)[:2])
+def test_a_silent_server(name: str, probes: bool) -> None:
+    play(SCENARIOS[name], platform(probes=probes))
+
+
+@pytest.mark.parametrize("name", list(SCENARIOS)[2:])
+def test_what_a_server_is_told_later(name: str) -> None:
+    play(SCENARIOS[name], platform())
