--- a/frostport/core/lifecycle.py
+++ b/frostport/core/lifecycle.py
@@ -18,8 +18,8 @@
 
     STARTING = "starting"  # nothing is open yet
     SERVING = "serving"  # new connections and requests are taken; ready says yes
-    DRAINING = "draining"  # told to drain: ready says no; what comes on open connections is served, each
-    # connection closes once it holds nothing
+    DRAINING = "draining"  # told to drain: ready says no; a connection that carries calls stays until they
+    # are over, and new set-ups on it are refused; one that carries nothing closes
     DRAINED = "drained"  # no client connection and no request is left; resume brings serving back
     TURNING_AWAY = "turning away"  # going out for work: new set-ups are refused, also on a connection whose
     # client never pauses; once nothing is left here, nothing can come any more
@@ -74,6 +74,10 @@
         """Whether requests that come now are taken."""
         return self.phase in TAKING
 
+    def drains(self) -> bool:
+        """Whether connections that carry calls get nothing new, so that they can close."""
+        return self.phase in DRAINS
+
     def ready(self) -> bool:
         """Whether this process says that it serves: new connections are welcome."""
         return self.phase in READY
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -102,6 +102,10 @@
         """Client connections that a drain waits for: none, as peers stay."""
         return 0
 
+    def _carries_calls(self, client: str) -> bool:
+        """Whether any call of a client is not over."""
+        return any(session.client == client for session in self.sessions.values())
+
     def busy(self) -> bool:
         return False
 
@@ -161,6 +165,10 @@
             self.broker.tally.deferred(cls.name)
             self._answer(link, message, avp.TOO_BUSY, [], "going down")
             return
+        if self.lifecycle.drains() and self._carries_calls(link.host):
+            self.broker.tally.deferred(cls.name)
+            self._answer(link, message, avp.TOO_BUSY, [], "draining")
+            return
         if self.broker.open >= OPEN_MOST:
             self.broker.tally.deferred(cls.name)
             self._answer(link, message, avp.TOO_BUSY, [], "too many set-ups open")
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -123,6 +123,7 @@
     def __init__(self, bus: EventBus) -> None:
         super().__init__(bus.clock, bus.deadlines, LONGEST)
         self.bus = bus
+        self.lines_heard = 0  # with its coming up as the first
 
     def opened(self) -> None:
         self.bus.up(self)
@@ -159,6 +160,7 @@
         self.list, self.address, self.connect = server_list, address, connect
         self.clock, self.deadlines = server_list.broker.clock, server_list.broker.deadlines
         self.connection: BusConnection | None = None
+        self.slow: BusConnection | None = None  # asked before, silent, and still open: it may yet answer
         self.dialing: Dialing = EAGER
         self.under_way: defer.Deferred[object] | None = None
         self._wait: Deadline | None = None  # the next dial, or the end of a silence
@@ -196,6 +198,7 @@
         """No connection, and none on its way, until it is started again."""
         old, self.connection = self.connection, None
         dialing, self.under_way = self.under_way, None
+        self._drop_slow()
         if self._wait is not None:
             self._wait.cancel()
         if dialing is not None:
@@ -226,10 +229,45 @@
         self.heard(connection)
 
     def heard(self, connection: BusConnection) -> None:
+        """A line came, or the connection is up."""
+        if connection is self.slow:
+            self._prefer(connection)
         if connection is self.connection:
-            self._await(SILENT_MS, connection.drop)
+            connection.lines_heard += 1
+            self._await(SILENT_MS, self._silent)
+
+    def _silent(self) -> None:
+        """Nothing came for too long. One that has never answered is left open while another is asked.
+
+        Guards against a discovery that is slow to answer: each connection would be given up before."""
+        connection = self.connection
+        if connection is None:
+            return
+        if connection.lines_heard > 1:
+            connection.drop()
+            return
+        log.info("event bus: no answer for %.0f ms, asked on another connection", SILENT_MS)
+        self._drop_slow()
+        self.slow = connection
+        self._dial()
+
+    def _prefer(self, connection: BusConnection) -> None:
+        """The connection that was asked first has answered: the other is not needed."""
+        later, dialing = self.connection, self.under_way
+        self.connection, self.slow, self.under_way = connection, None, None
+        if dialing is not None:
+            dialing.cancel()
+        if later is not None:
+            later.drop()
+
+    def _drop_slow(self) -> None:
+        slow, self.slow = self.slow, None
+        if slow is not None:
+            slow.drop()
 
     def lost(self, connection: BusConnection) -> None:
+        if connection is self.slow:
+            self.slow = None
         if connection is self.connection:
             log.warning("event bus lost; again from %d", self.list.offset)
             self.dialing.lost(LIST)
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -219,11 +219,14 @@
         """While the agent empties, closes once nothing is open or owed here and nothing waits to be read.
 
         Guards against losing a request: one that was read, or begun, is served first."""
-        if self.alive and self.spoke and not self.open and not self.owing and not self.standing \
-                and not self.lines.partial \
+        if self.alive and self.spoke and not self.carries_calls() and not self.lines.partial \
                 and not self._waiting and self.front.lifecycle.emptying():
             self.hang_up()
 
+    def carries_calls(self) -> bool:
+        """Whether a call that is not over, or whose end is not confirmed, was set up or is told here."""
+        return bool(self.open or self.standing or self.owing)
+
     def usable(self) -> bool:
         """Whether a release may be told here."""
         return self.alive and not self.ending and self.spoke and not self.stuck
@@ -304,7 +307,7 @@
 
     def busy(self) -> bool:
         """Whether a connection has a set-up open, a call standing or a release to be confirmed."""
-        return any(at.open or at.standing or at.owing for at in self.connections)
+        return any(at.carries_calls() for at in self.connections)
 
     def build(self, address: str) -> ClientConnection | None:
         """A protocol for a new connection that the gate admits; those who make room for it are closed."""
@@ -356,7 +359,8 @@
         if message.blob is None or len(message.blob.encode()) + len(name) > LONGEST_TEXT:
             raise BadLineError("blob: no description, or one too long to go on")
         figures = set_up_figures(opts.get("extras", ""), broker.rules.pools[name])
-        if not self.lifecycle.takes() or len(connection.open) >= OPEN_MOST:
+        if not self.lifecycle.takes() or len(connection.open) >= OPEN_MOST \
+                or (self.lifecycle.drains() and connection.carries_calls()):
             broker.tally.deferred(name)
             connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             return
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -70,6 +70,8 @@
         self.out: dict[str, Attempt] = {}
         self.sent_in: dict[str, int] = {}  # the turn in which each went out
         self.heard_at = self.reported_at = math.inf  # when anything was read, and when a report came unasked
+        self.behind_since = math.inf  # when another brought a report, with nothing heard here since
+        self.tested_at = -math.inf
         self.greeted = False  # the first report has come
         self.retired = False  # it was silent: no set-ups go out on it, it is kept to be heard
         self.releases: OrderedDict[str, tuple[int, float]] = OrderedDict()  # not confirmed: cause, said at
@@ -87,7 +89,7 @@
         self.lobby.hear(self, jsonl.decode(line))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 (Twisted's name)
-        self.heard_at = self.clock.now()
+        self.heard_at, self.behind_since = self.clock.now(), math.inf
         self.lobby.sign_of_life(self)
         super().dataReceived(data)
 
@@ -211,7 +213,7 @@
         if self.connections:  # guards against dialing for each set-up a server that takes no more connections
             self.enough_until = self.servers.clock.now() + ENOUGH_MS
             if refused and self.servers.probes:
-                self.test()
+                self.test(list(self.connections))
         elif refused:
             # Guards against being ahead of the cuts themselves: a reset connection is heard before them.
             refused_at = self.servers.clock.now()
@@ -513,35 +515,55 @@
             case _:
                 raise BadLineError(f"verb: unknown: {message.verb}")
 
-    def test(self) -> None:
-        """Guards against a dead process whose silent connections stay open: each has to answer."""
+    def test(self, connections: list[ServerConnection]) -> None:
+        """Guards against silent connections that stay open: each has to answer."""
+        if not connections:
+            return
         asked = self.servers.clock.now()
-        for connection in self.connections:
+        for connection in connections:
+            connection.tested_at = asked
             connection.say(Message("ECHO", "0" * 16, rc=0))
-        self.servers.deadlines.set(asked + REPORT_MS, lambda: self.tested(asked))
+        self.servers.deadlines.set(asked + REPORT_MS, lambda: self.tested(connections, asked))
 
-    def tested(self, asked: float) -> None:
-        for connection in [at for at in self.connections if at.heard_at <= asked]:
-            log.info("%s: a connection does not answer", self.host)
-            connection.spoilt()
+    def tested(self, connections: list[ServerConnection], asked: float) -> None:
+        """Closes those that have said nothing since they were asked."""
+        for connection in connections:
+            if connection in self.connections and connection.heard_at <= asked:
+                log.info("%s: connection %d does not answer", self.host, connection.slot)
+                connection.spoilt()
 
     def reported(self, connection: ServerConnection) -> None:
-        """A report comes on all connections at once: one that does not bring it has fallen silent."""
+        """A report came unasked. It comes on each connection, on all at once or on each in its own time."""
         connection.reported_at = self.servers.clock.now()
         if not connection.greeted:
             connection.greeted = self.greets = True  # a new connection's own report goes to no other
             return
         self.reported_at = connection.reported_at
+        for other in self.connections:
+            if other.reported_at < self.reported_at:
+                other.behind_since = min(other.behind_since, self.reported_at)
         if self.checking is None:
             self.checking = self.servers.deadlines.set(self.reported_at + REPORT_MS, self.check)
 
     def check(self) -> None:
-        """Guards against a connection that stays open and silent: with few set-ups out, it gets ever more."""
+        """Guards against a connection that stays open and silent: with few set-ups out, it gets ever more.
+
+        One that lags behind the others is tested; where tests are not allowed, it is closed once it has
+        lagged for as long as a set-up may go unheard."""
         self.checking = None
-        for connection in list(self.connections):
-            if connection.reported_at < self.reported_at - REPORT_MS:
-                log.info("%s: a connection has fallen silent", self.host)
+        now = self.servers.clock.now()
+        behind = [at for at in self.connections if at.behind_since <= now - REPORT_MS]
+        if self.servers.probes:
+            self.test([at for at in behind if at.tested_at <= now - SILENT_MS])
+            return
+        for connection in behind:
+            if connection.behind_since <= now - SILENT_MS:
+                log.info("%s: connection %d has fallen silent, %.0f ms behind the others", self.host,
+                         connection.slot, now - connection.behind_since)
                 connection.spoilt()
+        lagging = [at.behind_since for at in self.connections if at.behind_since < math.inf]
+        if lagging:
+            self.checking = self.servers.deadlines.set(min(lagging) + SILENT_MS, self.check)
 
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is None and self.broker.recorder.defers(
--- a/frostport/pump.py
+++ b/frostport/pump.py
@@ -10,6 +10,9 @@
 
 log = logging.getLogger("frostport.agent")
 
+LATE_MS = 250.0  # a deadline that is later than this was held up by a pause of the process
+READ_TURNS = 3  # turns of the reactor in which what came meanwhile is read before late deadlines run
+
 
 class Pump:
     """Runs the deadlines on the reactor's timer."""
@@ -26,7 +29,14 @@
         if at is not None:
             self._call = self.reactor.callLater(max(0.0, (at - self.clock.now()) / 1000.0), self.run)
 
-    def run(self) -> None:
+    def run(self, read_turns: int = READ_TURNS) -> None:
+        """Runs what is due; after a pause of the process, only once what came meanwhile has been read.
+
+        Guards against taking an answer that lies unread in a socket for a silence."""
+        at = self.deadlines.next_ms()
+        if at is not None and read_turns and self.clock.now() > at + LATE_MS:
+            self._call = self.reactor.callLater(0.0, self.run, read_turns - 1)
+            return
         try:
             self.deadlines.run(self.clock.now())
         except Exception:  # a fault in one deadline costs that deadline
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -435,3 +435,17 @@
     read = avp.read_header(found[0])
     read.avps = avp.read_avps(found[0][avp.HEADER:])
     assert read.get(avp.SESSION_ID) == "ab" and read.get(avp.MAXIMUM_WAIT_TIME) == 5
+
+
+def test_a_draining_agent_refuses_a_peer_that_still_has_calls() -> None:
+    play(STANDS + """
+        door drain => OK draining
+        send c1 CCR-I b dest=s1 wait=3000
+        expect c1 CCA-I b result=3004
+        expect s1 nothing
+        send c1 CCR-T a
+        expect s0 CCR-T a
+        door resume => OK serving
+        send c1 CCR-I d dest=s1 wait=3000
+        expect s1 CCR-I d
+    """, {**config(), "operator": "127.0.0.1:3"}, DiameterWorld)
--- a/trials/discovery.py
+++ b/trials/discovery.py
@@ -37,17 +37,21 @@
         self.waiting: list[list[dict[str, Any]]] = []  # changes that come once it is up
         self.servers: dict[str, asyncio.Server] = {}
         self.ports: dict[str, int] = {}
-        self.open: set[asyncio.StreamWriter] = set()
+        self.open: dict[asyncio.StreamWriter, str] = {}  # and the agent of each
+        self.stalled: set[asyncio.StreamWriter] = set()
+        self.old_servers: dict[str, asyncio.Server] = {}  # at addresses that were left
+        self.old: dict[str, set[asyncio.StreamWriter]] = {}  # and what is open there
         self.changed = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, agent: str) -> None:
         """Listens for an agent, on its port of before if there was one."""
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            self.open.add(writer)
+            self.open[writer] = agent
             with contextlib.suppress(ConnectionError, ValueError, IndexError):
                 await self._serve(agent, reader, writer)
-            self.open.discard(writer)
+            del self.open[writer]
+            self.stalled.discard(writer)
             writer.close()
 
         def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -66,7 +70,7 @@
             await asyncio.sleep(SLOW_S)
         while not writer.is_closing():
             changed = self.changed
-            if self.mode in (Mode.UP, Mode.SLOW):
+            if self.mode in (Mode.UP, Mode.SLOW) and writer not in self.stalled:
                 for number in range(had + 1, len(self.changes) + 1):
                     writer.write(self.line(agent, number))
                     self._note(agent, number)
@@ -92,7 +96,7 @@
 
     def change(self, hosts: list[dict[str, Any]]) -> None:
         """Takes a change in: now, or once it is up again."""
-        if self.mode is Mode.DOWN:
+        if self.mode in (Mode.DOWN, Mode.SILENT, Mode.REFUSING):
             self.waiting.append(hosts)
             return
         self.changes.append(hosts)
@@ -121,11 +125,31 @@
         if before is Mode.DOWN and mode is not Mode.DOWN:
             for agent in list(self.servers):
                 await self.start(agent)
+        if mode in (Mode.UP, Mode.SLOW):
             waiting, self.waiting = self.waiting, []
             for hosts in waiting:
                 self.change(hosts)
         self._wake()
 
+    def stall(self) -> None:
+        """What is open falls silent, and stays open; new connections are served."""
+        self.history.add(Kind.DISCOVERY_STALLED, "discovery")
+        self.stalled.update(self.open)
+
+    async def move(self, agent: str) -> None:
+        """Another port for an agent; the old one accepts nothing more, and says nothing more."""
+        self.old_servers[agent] = self.servers.pop(agent)
+        self.old_servers[agent].close()
+        self.old[agent] = {writer for writer, whose in self.open.items() if whose == agent}
+        self.stalled |= self.old[agent]
+        del self.ports[agent]
+        await self.start(agent)
+
+    def end_old(self, agent: str) -> None:
+        """Closes what is open at the address that was left."""
+        for writer in self.old.pop(agent, set()):
+            writer.close()
+
     async def stop(self) -> None:
         """Closes everything."""
         for server in self.servers.values():
--- a/trials/history.py
+++ b/trials/history.py
@@ -33,6 +33,7 @@
     END_WRITTEN = "end written"  # its release was written to an open connection
     END_LOST = "end lost"  # the connection that it was written to broke before it was confirmed
     CUT = "cut"  # a call that stood was lost with its server
+    LEFT = "left"  # a call that still stands at the server when the trial ends
     UNREACHABLE = "unreachable"  # from now on a server reads, writes and accepts nothing
     REACHABLE = "reachable"
     # Discovery
@@ -40,6 +41,7 @@
     DELIVERED = "delivered"  # it was written to an agent
     DISCOVERY_DOWN = "discovery down"
     DISCOVERY_UP = "discovery up"
+    DISCOVERY_STALLED = "discovery stalled"  # what is open falls silent
     # Agents
     STARTED = "started"
     READY = "ready"
@@ -48,6 +50,7 @@
     EXITED = "exited"  # `number` is the exit status
     PAUSED = "paused"  # SIGSTOP
     RESUMED = "resumed"  # SIGCONT
+    RELOADED = "reloaded"  # SIGHUP
     # The trial
     FAULT = "fault"  # `text` names it
     FINISHED = "finished"
--- a/trials/site.py
+++ b/trials/site.py
@@ -17,6 +17,7 @@
 from trials.server import Behaviour, Server
 
 CALL_CLASS = "race"
+OLD_ADDRESS_S = 1.5  # after SIGHUP, discovery closes what is open at its old address
 READY_S = 30.0  # how long the agents may take to be ready before the trial begins
 
 
@@ -140,6 +141,25 @@
         self.entries[name] = entry
         self.discovery.change([entry])
 
+    def refresh_known(self, agent: AgentProcess) -> None:
+        """A process that starts is given the list as it stands."""
+        assert self.discovery is not None
+        number = len(self.discovery.changes)
+        events = [self.discovery.event(agent.name, at) for at in range(1, number + 1)]
+        agent.record["known"] = {"offset": number, "batch": events}
+        agent.record["bus"] = f"127.0.0.1:{self.discovery.ports[agent.name]}"
+
+    async def move_discovery(self, name: str) -> None:
+        """Discovery moves to another address for an agent, which is told by SIGHUP; the old one ends."""
+        assert self.discovery is not None
+        agent = self.agents[name]
+        await self.discovery.move(name)
+        agent.write_configuration(bus=f"127.0.0.1:{self.discovery.ports[name]}")
+        self.history.add(Kind.RELOADED, name)
+        agent.send(signal.SIGHUP)
+        await asyncio.sleep(OLD_ADDRESS_S)
+        self.discovery.end_old(name)
+
     async def discovery_mode(self, mode: Mode) -> None:
         """Changes how discovery treats those who ask."""
         assert self.discovery is not None
@@ -154,6 +174,8 @@
 
     async def close(self) -> None:
         """Ends everything and saves the history."""
+        for server in self.servers.values():
+            server.tell_left()
         self.history.add(Kind.FINISHED, "trial")
         if self.watching is not None:
             self.watching.cancel()
