--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -540,7 +540,7 @@
             return
         self.reported_at = connection.reported_at
         for other in self.connections:
-            if other.reported_at < self.reported_at:
+            if other.reported_at < self.reported_at - REPORT_MS:  # else it has had this one, or the last
                 other.behind_since = min(other.behind_since, self.reported_at)
         if self.checking is None:
             self.checking = self.servers.deadlines.set(self.reported_at + REPORT_MS, self.check)
