A process that comes back after a silence does not keep the calls of the one before

Cause: the first word of a newer connection counted as a sign of life until the server was suspected, a second after it was asked (server_liveness.py: heard). Now a newer connection's word, or a reset by the other side, after 2 s of silence begins the suspicion. Where tests are not allowed the newer connection is the question itself, and its greeting the answer. Also: once heard again, a server is dialed at once if a lost connection has not been replaced; six planted defects for the checker, the operators' drain among the faults, slow discovery of 3 s; ports of the scripted parties are kept over their restarts; an end counts as written with its last byte.

--- a/frostport/core/server_liveness.py
+++ b/frostport/core/server_liveness.py
@@ -65,9 +65,13 @@
 class ServerLiveness:
     """What one server's silence means for the calls that stand there. All times in ms."""
 
-    def __init__(self, now_ms: float, lost_ms: float = LOST_MS) -> None:
-        """`lost_ms`: the silence after which calls count as lost; no more than LOST_MS."""
+    def __init__(self, now_ms: float, lost_ms: float = LOST_MS, old_are_asked: bool = True) -> None:
+        """`lost_ms`: the silence after which calls count as lost; no more than LOST_MS.
+
+        `old_are_asked`: whether a quiet server is asked on the connections there are. If it is not, it is
+        asked by a new one, whose first word is the answer."""
         self._lost_ms = min(lost_ms, LOST_MS)
+        self._old_are_asked = old_are_asked
         self._last_heard_ms = now_ms
         self._asked_at_ms = -RECHECK_MS
         self._suspicion: _Suspicion | None = None
@@ -83,6 +87,8 @@
 
     def heard(self, now_ms: float, opened_at_ms: float) -> bool:
         """Something was read on a connection that was opened at a time; whether this ends a suspicion."""
+        if self._old_are_asked and opened_at_ms > self._last_heard_ms:
+            self._doubt(now_ms)
         self._last_heard_ms = now_ms
         suspicion = self._suspicion
         if suspicion is None:
@@ -94,6 +100,15 @@
         self._suspicion = None
         return True
 
+    def reset(self, now_ms: float) -> None:
+        """A connection was reset by the other side: after a silence, perhaps by a later process."""
+        self._doubt(now_ms)
+
+    def _doubt(self, now_ms: float) -> None:
+        """Suspects a server that has been quiet: the process that is heard now may be another."""
+        if self._suspicion is None and now_ms >= self._last_heard_ms + QUIET_MS:
+            self._suspicion = _Suspicion(self._last_heard_ms, self._last_heard_ms + self._lost_ms)
+
     def paused(self, now_ms: float) -> None:
         """This process itself has been stopped or starved: its silence is not the server's.
 
--- a/frostport/net/lobby.py
+++ b/frostport/net/lobby.py
@@ -7,8 +7,8 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
-from twisted.internet import defer
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet import defer, protocol
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.python.failure import Failure
 
 from frostport.core.broker import Broker
@@ -43,7 +43,7 @@
 SILENT_MS = 1000.0  # a set-up given up after this long, with nothing heard meanwhile, ends its connection
 CUT_MS = 100.0  # from a refused connection to the release of what stood there
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
-REDIAL_MOST_MS = 2000.0  # pauses double up to this while other connections are open
+REDIAL_MOST_MS = 1000.0  # pauses double up to this while other connections are open
 CONFIRM_MS = 10_000.0  # a release that a server has not confirmed for so long counts as heard
 
 NOTES = {"blocked": NOTE_NO_LINE, "bounced": NOTE_RETURNED, "swamped": NOTE_PROCESSOR_FULL,
@@ -80,6 +80,13 @@
     def opened(self) -> None:
         self.lobby.up(self)
 
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802 (Twisted's name)
+        if self.alive and isinstance(reason.value, ConnectionDone):
+            self.lobby.sign_of_life(self)  # the server closed it
+        elif self.alive:
+            self.lobby.liveness.reset(self.clock.now())
+        super().connectionLost(reason)
+
     def closed(self) -> None:
         if self._half is not None:
             self._half.cancel()
@@ -152,7 +159,7 @@
         self.checking: Deadline | None = None
         self.enough_until = -math.inf  # no further connection is dialed before
         self.listed = True
-        self.liveness = ServerLiveness(servers.clock.now())
+        self.liveness = ServerLiveness(servers.clock.now(), old_are_asked=servers.probes)
         self.greets = False  # it has told its state first of all on a new connection
         self.retired: ServerConnection | None = None  # silent, and kept: it may show that the process goes on
         self.replacing = False  # a connection was lost, and no later one has come up
@@ -347,6 +354,8 @@
         """Something was read on a connection, or it came up at a server that does not greet."""
         if self.liveness.heard(self.servers.clock.now(), connection.opened_at):
             log.info("%s: liveness: suspected -> alive, heard on connection %d", self.host, connection.slot)
+            if self.replacing:
+                self.connect()  # guards against waiting for the next dial's time with what it is told on it
         if connection.retired and connection is self.retired:
             self._return_to_use(connection)
 
--- a/tests/test_server_liveness.py
+++ b/tests/test_server_liveness.py
@@ -94,3 +94,26 @@
     assert not [action for action in liveness.look(resumed_ms, True) if isinstance(action, CallsLost)]
     actions = looked(liveness, resumed_ms, resumed_ms + LOST_MS)
     assert [action.since_ms for action in actions if isinstance(action, CallsLost)] == [START_MS]
+
+
+def test_a_process_that_comes_back_within_the_first_check_does_not_keep_the_calls_of_the_one_before() -> None:
+    liveness = ServerLiveness(START_MS)
+    back_ms = START_MS + QUIET_MS + 100.0
+    assert not liveness.heard(back_ms, back_ms - 10.0)
+    assert liveness.suspected
+    lost = looked(liveness, back_ms, START_MS + TOLD_MS)[-1]
+    assert isinstance(lost, CallsLost) and START_MS < lost.stood_by_ms < back_ms
+
+
+def test_where_a_quiet_server_is_asked_by_a_new_connection_its_first_word_is_the_answer() -> None:
+    liveness = ServerLiveness(START_MS, old_are_asked=False)
+    answered_ms = START_MS + QUIET_MS + 100.0
+    liveness.heard(answered_ms, answered_ms - 10.0)
+    assert not liveness.suspected
+
+
+def test_a_reset_after_a_silence_leaves_the_calls_in_doubt_and_one_without_does_not() -> None:
+    for silent_ms in (QUIET_MS, QUIET_MS - 1.0):
+        liveness = ServerLiveness(START_MS, old_are_asked=False)
+        liveness.reset(START_MS + silent_ms)
+        assert liveness.suspected is (silent_ms >= QUIET_MS)
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -10,12 +10,14 @@
 import tempfile
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass
 
 import msgspec
 
 from trials.checker import check
 from trials.history import Event, Kind
 from trials.plan import SECONDS, FaultKind, Plan, draw, rounded, without
+from trials.planted import DEFECTS
 from trials.play import play
 from trials.rules.index import Violation
 
@@ -35,45 +37,59 @@
     problem: str = ""
 
 
-def played(plan: Plan, folder: pathlib.Path) -> tuple[list[Event], list[Violation], float, int]:
-    """Plays a plan here: its events, its violations, the agents' most memory (MB) and descriptors."""
-    events, site = asyncio.run(play(plan, folder))
-    return events, check(events, plan.day), site.most_memory_bytes / 1e6, site.most_descriptors
+@dataclass(frozen=True)
+class Played:
+    """What a plan's play has shown."""
 
+    events: list[Event]
+    violations: list[Violation]
+    memory_mb: float  # of the agent that had most
+    descriptors: int  # the same
 
-def trial(seed: int, only: list[str], seconds: float, folder: str) -> Result:
+
+def played(plan: Plan, folder: pathlib.Path, defect: str = "") -> Played:
+    """Plays a plan in this process."""
+    events, site = asyncio.run(play(plan, folder, defect))
+    return Played(events, check(events, plan.day), site.most_memory_bytes / 1e6, site.most_descriptors)
+
+
+def trial(seed: int, only: list[str], seconds: float, folder: str, defect: str = "") -> Result:
     """Plays one seed; its history and logs stay in the folder only where it fails."""
     plan = draw(seed, frozenset(FaultKind(kind) for kind in only), seconds)
     here = pathlib.Path(folder) / f"seed-{seed}"
     here.mkdir(parents=True, exist_ok=True)
     faults = [f"{fault.kind.value}@{fault.at_s:.1f}+{fault.for_s:.1f}" for fault in plan.faults]
     try:
-        events, violations, memory_mb, descriptors = played(plan, here)
+        shown = played(plan, here, defect)
     except Exception as problem:  # a trial that could not be played is reported as such
         return Result(seed, faults, 0, {}, [], 0.0, 0, f"{type(problem).__name__}: {problem}")
-    if not violations:
+    if not shown.violations:
         shutil.rmtree(here)
     return Result(
-        seed, faults, sum(event.kind is Kind.ASKED for event in events),
-        dict(Counter(violation.rule for violation in violations)),
-        [f"{item.at:.3f} {item.rule} {item.call}: {item.text}" for item in violations[:MOST_SHOWN]],
-        memory_mb, descriptors)
+        seed, faults, sum(event.kind is Kind.ASKED for event in shown.events),
+        dict(Counter(violation.rule for violation in shown.violations)),
+        [f"{item.at:.3f} {item.rule} {item.call}: {item.text}" for item in shown.violations[:MOST_SHOWN]],
+        shown.memory_mb, shown.descriptors)
+
+
+def broken_rules(plan: Plan, folder: pathlib.Path) -> set[str]:
+    """The rules that a play of the plan breaks."""
+    return {violation.rule for violation in played(plan, folder).violations}
 
 
 def reduce(seed: int, only: list[str], seconds: float, folder: pathlib.Path) -> Plan:
     """Cuts a failing plan down while it still breaks one of the same rules."""
     plan = draw(seed, frozenset(FaultKind(kind) for kind in only), seconds)
-    rules = {violation.rule for violation in played(plan, folder)[1]}
+    rules = broken_rules(plan, folder)
     index = 0
     while index < len(plan.faults):
         shorter = without(plan, index)
-        if rules & {violation.rule for violation in played(shorter, folder)[1]}:
+        if rules & broken_rules(shorter, folder):
             plan = shorter
         else:
             index += 1
     round_plan = rounded(plan)
-    fails = rules & {violation.rule for violation in played(round_plan, folder)[1]}
-    return round_plan if fails else plan
+    return round_plan if rules & broken_rules(round_plan, folder) else plan
 
 
 def arguments() -> argparse.Namespace:
@@ -85,6 +101,7 @@
     parser.add_argument("--only", default="", help="kinds of fault, by commas: " + ", ".join(FaultKind))
     parser.add_argument("--json", type=pathlib.Path, help="writes the results to this file")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for histories and logs of failing seeds")
+    parser.add_argument("--planted", default="", choices=["", *DEFECTS], help="a defect for every agent")
     parser.add_argument("--reduce", action="store_true", help="cuts failing plans down")
     return parser.parse_args()
 
@@ -98,7 +115,8 @@
     folder = given.keep or pathlib.Path(tempfile.mkdtemp(prefix="trials-"))
     results = []
     with ProcessPoolExecutor(given.jobs) as pool:
-        waiting = [pool.submit(trial, seed, only, given.seconds, str(folder)) for seed in seeds]
+        waiting = [pool.submit(trial, seed, only, given.seconds, str(folder), given.planted)
+                   for seed in seeds]
         for done in as_completed(waiting):
             results.append(done.result())
             if sys.stderr.isatty():
--- a/trials/agents.py
+++ b/trials/agents.py
@@ -19,8 +19,10 @@
 class AgentProcess:
     """One agent, over its restarts."""
 
-    def __init__(self, name: str, folder: pathlib.Path, record: dict[str, Any], history: History) -> None:
-        """`record`: its configuration."""
+    def __init__(self, name: str, folder: pathlib.Path, record: dict[str, Any], history: History,
+                 defect: str = "") -> None:
+        """`record`: its configuration; `defect`: one of `trials.planted`, put in at each start."""
+        self.program_arguments = ["trials.planted", defect] if defect else ["frostport"]
         self.name, self.folder, self.record, self.history = name, folder, record, history
         self.path = folder / f"{name}.json"
         self.program: asyncio.subprocess.Process | None = None
@@ -40,7 +42,7 @@
         self.write_configuration()
         self.expected = False
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "frostport", "serve", "--config", str(self.path),
+            sys.executable, "-m", *self.program_arguments, "serve", "--config", str(self.path),
             stdout=self.log, stderr=self.log)
         self.history.add(Kind.STARTED, self.name, number=self.program.pid)
         self.watching.append(asyncio.ensure_future(self._watch_end(self.program)))
@@ -81,6 +83,18 @@
             self.history.add(kinds[number], self.name)
         self.program.send_signal(number)
 
+    async def ask(self, call: str) -> str:
+        """One call at its admin endpoint; what it answers, empty if it is not there."""
+        host, _, port = str(self.record["operator"]).rpartition(":")
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(call.encode() + b"\n")
+                answer = await reader.read()
+                writer.close()
+                return answer.decode()
+        return ""
+
     async def stop(self) -> None:
         """Ends its process, whatever state it is in."""
         for task in self.watching:
--- a/trials/discovery.py
+++ b/trials/discovery.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from typing import Any
 
+from standins.ports import free_ports
 from trials.history import History, Kind
 
 BEAT_S = 1.0  # between two lines with the last number
@@ -23,7 +24,7 @@
     SLOW = "slow"  # answers after SLOW_S
 
 
-SLOW_S = 1.5
+SLOW_S = 3.0
 
 
 class Discovery:
@@ -59,8 +60,8 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-        self.servers[agent] = await asyncio.start_server(accept, "127.0.0.1", self.ports.get(agent, 0))
-        self.ports[agent] = int(self.servers[agent].sockets[0].getsockname()[1])
+        port = self.ports.setdefault(agent, free_ports(1)[0])
+        self.servers[agent] = await asyncio.start_server(accept, "127.0.0.1", port)
 
     async def _serve(self, agent: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.mode is Mode.REFUSING:
--- a/trials/history.py
+++ b/trials/history.py
@@ -50,6 +50,8 @@
     EXITED = "exited"  # `number` is the exit status
     PAUSED = "paused"  # SIGSTOP
     RESUMED = "resumed"  # SIGCONT
+    DRAINING = "draining"  # an operator's drain
+    RESUMING = "resuming"  # and its end
     RELOADED = "reloaded"  # SIGHUP
     # The trial
     FAULT = "fault"  # `text` names it
--- a/trials/plan.py
+++ b/trials/plan.py
@@ -24,6 +24,7 @@
     AGENT_KILL = "agent-kill"
     AGENT_STOP = "agent-stop"  # SIGSTOP, and SIGCONT later
     AGENT_RELOAD = "agent-reload"  # SIGHUP moves discovery
+    AGENT_DRAIN = "agent-drain"  # an operator's drain, and its end
     SERVER_VANISH = "server-vanish"  # for good, or until a new process comes back
     SERVER_CUT = "server-cut"  # its links, to all agents or to one
     SERVER_HANG = "server-hang"
--- /dev/null
+++ b/trials/planted.py
@@ -0,0 +1,80 @@
+"""Starts an agent with a defect planted in it: `python -m trials.planted DEFECT ARGUMENT ...`.
+
+Each defect breaks one rule on purpose; the checker has to find it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from frostport import interface as api
+from frostport import settings
+from frostport.cli import main
+from frostport.core.broker import Broker
+from frostport.net.front import PlatformFront
+from frostport.net.lobby import LobbyServers
+
+
+def release_not_sent() -> None:
+    """A call that its client ends is left standing at its server."""
+    setattr(LobbyServers, "release", lambda self, attempt: None)  # noqa: B010 (mypy knows it as a method)
+
+
+def guard_left_out() -> None:
+    """The release guard is taken for none."""
+    real = settings.read
+
+    def read(conf: settings.Conf) -> api.Settings:
+        return dataclasses.replace(real(conf), release_guard_ms=0.0)
+
+    setattr(settings, "read", read)  # noqa: B010
+
+
+def drain_ignored() -> None:
+    """A server that drains counts as ready until it is gone."""
+    real: Any = Broker.listed
+
+    def listed(self: Broker, kind: api.ListKind, version: int, servers: Iterable[api.Server],
+               dials: Any = None) -> Any:
+        shown = [dataclasses.replace(server, state=api.Lifecycle.READY)
+                 if server.state is api.Lifecycle.DRAINING else server for server in servers]
+        return real(self, kind, version, shown, dials)
+
+    setattr(Broker, "listed", listed)  # noqa: B010
+
+
+def answer_twice() -> None:
+    """An answer is said twice to its client."""
+    real: Any = PlatformFront.stands
+
+    def stands(self: PlatformFront, request: Any, description: Any) -> None:
+        connection = self.connections.get(request.place)
+        real(self, request, description)
+        if connection is not None:
+            connection.open[request.id] = request
+            real(self, request, description)
+
+    setattr(PlatformFront, "stands", stands)  # noqa: B010
+
+
+def attempts_for_the_gone() -> None:
+    """A client that has closed or cancelled is still served."""
+    setattr(Broker, "gone", lambda self, request: None)  # noqa: B010
+    setattr(PlatformFront, "waits", lambda self, request: True)  # noqa: B010
+
+
+def silence_ignored() -> None:
+    """Nobody looks after servers that have fallen silent."""
+    setattr(LobbyServers, "_look", lambda self: None)  # noqa: B010
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    plant.__name__: plant for plant in (release_not_sent, guard_left_out, drain_ignored, answer_twice,
+                                        attempts_for_the_gone, silence_ignored)}
+
+if __name__ == "__main__":
+    DEFECTS[sys.argv[1]]()
+    sys.exit(main(sys.argv[2:]))
--- a/trials/play.py
+++ b/trials/play.py
@@ -111,6 +111,14 @@
         if self.site.discovery.mode is Mode.UP:
             await self.site.move_discovery(party)
 
+    async def _agent_drain(self, fault: Fault, party: str) -> None:
+        agent = self.site.agents[party]
+        if await agent.ask("drain"):
+            self.site.history.add(Kind.DRAINING, party)
+            await asyncio.sleep(fault.for_s)
+            self.site.history.add(Kind.RESUMING, party)
+            await agent.ask("resume")
+
     # Servers
 
     async def _server_vanish(self, fault: Fault, party: str) -> None:
@@ -217,9 +225,9 @@
                 self.crowd.append(writer)
 
 
-async def play(plan: Plan, folder: pathlib.Path) -> tuple[list[Event], Site]:
+async def play(plan: Plan, folder: pathlib.Path, defect: str = "") -> tuple[list[Event], Site]:
     """Plays a plan; its history and the logs of its agents are left in the folder."""
-    site = Site(folder, plan.seed, plan.day, plan.size)
+    site = Site(folder, plan.seed, plan.day, plan.size, defect)
     try:
         await site.open()
         await Player(site, plan).run()
--- a/trials/server.py
+++ b/trials/server.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from standins.lobby import encode
+from standins.ports import free_ports
 from trials.history import History, Kind
 from trials.pieces import Pieces
 
@@ -100,13 +101,20 @@
         if self.server.cut_off(self.agent):
             self.held.append((data, ends))
             return
-        if ends:
-            self.ends.add(ends)
-            self.server.history.add(Kind.END_WRITTEN, self.server.name, call=ends, server=self.server.name)
+        wait_s = 0.0
         if self.server.behaviour.pieces:
-            self.pieces.write(self.transport, data)
+            wait_s = self.pieces.write(self.transport, data)
         else:
             self.transport.write(data)
+        if ends and wait_s:
+            asyncio.get_running_loop().call_later(wait_s, self._end_written, ends)
+        elif ends:
+            self._end_written(ends)
+
+    def _end_written(self, call: str) -> None:
+        if not self.closed:
+            self.ends.add(call)
+            self.server.history.add(Kind.END_WRITTEN, self.server.name, call=call, server=self.server.name)
 
     def freeze(self) -> None:
         """Reads nothing more until `thaw`."""
@@ -140,7 +148,7 @@
     def __init__(self, server: Server, agent: str) -> None:
         self.server, self.agent = server, agent
         self.socket: socket.socket | None = None
-        self.port = 0
+        self.port = free_ports(1)[0]
         self.fillers: list[socket.socket] = []
         self.accepting: asyncio.Task[None] | None = None
 
--- a/trials/site.py
+++ b/trials/site.py
@@ -71,8 +71,9 @@
 class Site:
     """The parties of one trial."""
 
-    def __init__(self, folder: pathlib.Path, seed: int, day: Day, size: Size) -> None:
-        self.folder, self.day, self.size = folder, day, size
+    def __init__(self, folder: pathlib.Path, seed: int, day: Day, size: Size, defect: str = "") -> None:
+        """`defect`: one of `trials.planted`, put into every agent."""
+        self.folder, self.day, self.size, self.defect = folder, day, size, defect
         self.chance, self.history = random.Random(seed), History()
         self.agents: dict[str, AgentProcess] = {}
         self.servers: dict[str, Server] = {}
@@ -103,23 +104,24 @@
         self.discovery = Discovery(self.history, dials)
         self.discovery.changes.append(
             [self.entries[f"s{number}"] for number in range(self.size.servers)])
-        ports = free_ports(len(names) * 2)
+        ports = free_ports(len(names) * 3)
         for number, name in enumerate(names):
             await self.discovery.start(name)
             record = {
-                "name": name, "listen": f"127.0.0.1:{ports[2 * number]}", "seed": f"{number:02x}",
+                "name": name, "listen": f"127.0.0.1:{ports[3 * number]}", "seed": f"{number:02x}",
                 "limits": {"sockets": self.day.sockets}, "bus": f"127.0.0.1:{self.discovery.ports[name]}",
                 "known": {"offset": 1, "batch": [self.discovery.event(name, 1)]},
                 "settings": self.day.settings(len(self.servers), number, len(names))}
+            record["operator"] = f"127.0.0.1:{ports[3 * number + 2]}"
             if self.day.peers:
-                record["peer_listen"] = f"127.0.0.1:{ports[2 * number + 1]}"
-                record["peers"] = [f"127.0.0.1:{port}" for port in ports[1::2]]
-            self.agents[name] = AgentProcess(name, self.folder, record, self.history)
+                record["peer_listen"] = f"127.0.0.1:{ports[3 * number + 1]}"
+                record["peers"] = [f"127.0.0.1:{port}" for port in ports[1::3]]
+            self.agents[name] = AgentProcess(name, self.folder, record, self.history, self.defect)
             await self.agents[name].start()
         async with asyncio.timeout(READY_S):
             await asyncio.gather(*(agent.ready() for agent in self.agents.values()))
         for number, name in enumerate(names * self.size.clients):
-            client = Client(f"c{number}", name, ports[2 * names.index(name)], self.history, self._fork(),
+            client = Client(f"c{number}", name, ports[3 * names.index(name)], self.history, self._fork(),
                             self.size.habits, CALL_CLASS, number + 1)
             self.clients.append(client)
             client.start()
