--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -18,7 +18,7 @@
 from frostport.core.deadlines import Deadline
 from frostport.core.dialing import EAGER, LIST, Dialing
 from frostport.net.jsonl import BadLineError, LineConnection
-from frostport.net.lobby import LobbyServers
+from frostport.net.upstream_pool import UpstreamPool
 
 log = logging.getLogger("frostport.bus")
 
@@ -32,7 +32,7 @@
 class ServerList:
     """Applies events to the list, and hands them to the servers' side and to the broker in turn."""
 
-    def __init__(self, broker: Broker, servers: LobbyServers) -> None:
+    def __init__(self, broker: Broker, servers: UpstreamPool) -> None:
         self.broker, self.servers = broker, servers
         self.offset, self.unread = 0, -1  # the last event had, and the last that could not be read
         self.version = 0
--- a/frostport/net/lobby.py
+++ b/frostport/net/upstream.py
@@ -1,29 +1,20 @@
-"""The lobby servers' side of the platform's wire: connections, set-ups, releases, reports."""
+"""One upstream server on the platform's wire: its connections, set-ups, releases and reports."""
 
 from __future__ import annotations
 
 import logging
 import math
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from twisted.internet import defer, protocol
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet import defer
+from twisted.internet.error import ConnectionRefusedError
 from twisted.python.failure import Failure
 
-from frostport.core.broker import Broker
-from frostport.core.calls import Attempt, Front, State
+from frostport.core.calls import Attempt, State
 from frostport.core.deadlines import Deadline
-from frostport.core.dialing import EAGER, Dialing
-from frostport.core.server_liveness import (
-    PAUSE_MS,
-    PERIOD_MS,
-    AskForLife,
-    CallsLost,
-    ServerLiveness,
-    Suspected,
-)
-from frostport.core.slots import Slots
+from frostport.core.server_liveness import AskForLife, CallsLost, ServerLiveness, Suspected
 from frostport.interface import (
     NOTE_NO_LINE,
     NOTE_NUMBER_BUSY,
@@ -32,19 +23,20 @@
     Outcome,
 )
 from frostport.net import jsonl
-from frostport.net.jsonl import BadLineError, LineConnection, Message
+from frostport.net.connection_lag import SILENT_MS, LagDetector
+from frostport.net.jsonl import BadLineError, Message
+from frostport.net.upstream_connection import CONFIRM_MS, ServerConnection
+
+if TYPE_CHECKING:
+    from frostport.net.upstream_pool import UpstreamPool
 
-log = logging.getLogger("frostport.lobby")
+log = logging.getLogger("frostport.upstream")
 
 CONNECTIONS_MOST = 4  # to one server
-HALF_LINE_MS = 300.0  # an answer that stops short for so long ends its connection
 ENOUGH_MS = 5000.0  # how long the connections there are do, after a further one was not to be had
-REPORT_MS = 150.0  # by so much the connections may differ in when they bring a report
-SILENT_MS = 1000.0  # a set-up given up after this long, with nothing heard meanwhile, ends its connection
 CUT_MS = 100.0  # from a refused connection to the release of what stood there
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
 REDIAL_MOST_MS = 1000.0  # pauses double up to this while other connections are open
-CONFIRM_MS = 10_000.0  # a release that a server has not confirmed for so long counts as heard
 
 NOTES = {"blocked": NOTE_NO_LINE, "bounced": NOTE_RETURNED, "swamped": NOTE_PROCESSOR_FULL,
          "occupied": NOTE_NUMBER_BUSY, "far_swamped": NOTE_RETURNED}
@@ -55,111 +47,25 @@
 COLUMNS = {"free": "x0", "size": "x1", "can_take": "qps", "depth": "queue", "load_share": "util",
            "mean_ms": "latency_ms", "hold_back": "eps", "concurrent": "inflight"}
 
-Connect = Callable[[str, "ServerConnection"], "defer.Deferred[object]"]
-
-
-class ServerConnection(LineConnection):
-    """One connection to a lobby server, and the attempts out on it."""
-
-    def __init__(self, lobby: Lobby) -> None:
-        super().__init__(lobby.servers.clock, lobby.servers.deadlines)
-        self.lobby = lobby
-        self.slot = -1
-        self.opened_at = math.inf
-        self.peer = lobby.host
-        self.out: dict[str, Attempt] = {}
-        self.sent_in: dict[str, int] = {}  # the turn in which each went out
-        self.heard_at = self.reported_at = math.inf  # when anything was read, and when a report came unasked
-        self.behind_since = math.inf  # when another brought a report, with nothing heard here since
-        self.tested_at = -math.inf
-        self.greeted = False  # the first report has come
-        self.retired = False  # it was silent: no set-ups go out on it, it is kept to be heard
-        self.releases: OrderedDict[str, tuple[int, float]] = OrderedDict()  # not confirmed: cause, said at
-        self._half: Deadline | None = None
-
-    def opened(self) -> None:
-        self.lobby.up(self)
-
-    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802 (Twisted's name)
-        if self.alive and isinstance(reason.value, ConnectionDone):
-            self.lobby.sign_of_life(self)  # the server closed it
-        elif self.alive:
-            self.lobby.liveness.reset(self.clock.now())
-        super().connectionLost(reason)
-
-    def closed(self) -> None:
-        if self._half is not None:
-            self._half.cancel()
-        self.lobby.down(self)
-
-    def line(self, line: bytes) -> None:
-        self.lobby.hear(self, jsonl.decode(line))
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802 (Twisted's name)
-        self.heard_at, self.behind_since = self.clock.now(), math.inf
-        self.lobby.sign_of_life(self)
-        super().dataReceived(data)
-
-    def read(self) -> None:
-        if self._half is not None and not self.lines.partial:
-            self._half.cancel()
-            self._half = None
-        elif self.lines.partial and self._half is None:
-            # Guards against an answer that stops short: what comes after it would never be read.
-            self._half = self.deadlines.set(self.clock.now() + HALF_LINE_MS, self.spoilt)
-
-    def malformed(self, problem: BadLineError) -> None:
-        # Guards against waiting on a connection that is of no further use: what is open on it ends too.
-        self.spoilt()
-
-    def spoilt(self) -> None:
-        self.drop()
-        self.lobby.down(self)
-
-    def start(self, attempt: Attempt, line: bytes) -> bool:
-        """Writes a set-up; whether it was written in full to the transport."""
-        attempt.link = self.slot
-        self.out[attempt.request.id] = attempt
-        self.sent_in[attempt.request.id] = self.turns
-        return self.write(line)
-
-    def release(self, tag: str, cause: int) -> bool:
-        """Writes the release of a call, and remembers it until the server confirms it."""
-        if not self.say(Message("FINISH", tag, rc=cause)):
-            return False
-        now = self.clock.now()
-        self.releases[tag] = (cause, now)
-        while next(iter(self.releases.values()))[1] < now - CONFIRM_MS:
-            self.releases.popitem(last=False)
-        return True
-
-    def take(self, tag: str) -> Attempt | None:
-        """The attempt that an answer is for, no longer out here; None if it is for none.
-
-        Guards against second copies: what was read before an attempt went out can't be its answer."""
-        if tag not in self.out or self.sent_in[tag] == self.turns:
-            return None
-        del self.sent_in[tag]
-        return self.out.pop(tag)
-
-
-class Lobby:
-    """One lobby server: its connections, and what waits for one."""
-
-    def __init__(self, servers: LobbyServers, host: str, dial: str) -> None:
-        self.servers, self.host, self.dial = servers, host, dial
-        self.broker = servers.broker
+Connect = Callable[[str, ServerConnection], "defer.Deferred[object]"]
+
+
+class UpstreamServer:
+    """One upstream server: its connections, and what waits for one."""
+
+    def __init__(self, pool: UpstreamPool, host: str, dial: str) -> None:
+        self.pool, self.host, self.dial = pool, host, dial
+        self.broker = pool.broker
         self.connections: list[ServerConnection] = []
         self.dialing: defer.Deferred[object] | None = None
         self.redial: Deadline | None = None
         self.waiting: list[Attempt] = []
         self.probes: list[int] = []
-        self.owed: dict[str, int] = {}  # releases not sent for want of a connection
-        self.reported_at = -math.inf  # when a report came unasked
-        self.checking: Deadline | None = None
+        self.pending_releases: dict[str, int] = {}  # releases not sent for want of a connection
+        self.lag = LagDetector(self)
         self.enough_until = -math.inf  # no further connection is dialed before
         self.listed = True
-        self.liveness = ServerLiveness(servers.clock.now(), old_are_asked=servers.probes)
+        self.liveness = ServerLiveness(pool.clock.now(), old_are_asked=pool.probes)
         self.greets = False  # it has told its state first of all on a new connection
         self.retired: ServerConnection | None = None  # silent, and kept: it may show that the process goes on
         self.replacing = False  # a connection was lost, and no later one has come up
@@ -174,9 +80,9 @@
         if self.redial is not None:
             self.redial.cancel()
         connection = ServerConnection(self)
-        dialing = self.dialing = self.servers.connect(self.dial, connection)
-        limit = self.servers.deadlines.set(
-            self.servers.clock.now() + self.servers.connect_timeout_ms, dialing.cancel)
+        dialing = self.dialing = self.pool.connect(self.dial, connection)
+        limit = self.pool.deadlines.set(
+            self.pool.clock.now() + self.pool.connect_timeout_ms, dialing.cancel)
 
         def settled(result: object) -> object:
             limit.cancel()
@@ -191,22 +97,22 @@
         """How many connections count against the most that a server takes."""
         return len(self.connections) + (self.retired is not None)
 
-    def want(self, wait_ms: float) -> None:
+    def schedule_dial(self, wait_ms: float) -> None:
         """Dials after a time, unless a dial is on its way or due before."""
         if wait_ms <= 0.0:
             self.connect()
         elif self.listed and self.dialing is None and self.open_connections() < CONNECTIONS_MOST:
-            at = self.servers.clock.now() + wait_ms
+            at = self.pool.clock.now() + wait_ms
             if self.redial is not None:
                 if self.redial.action is not None and self.redial.at_ms <= at:
                     return
                 self.redial.cancel()
-            self.redial = self.servers.deadlines.set(at, self.connect)
+            self.redial = self.pool.deadlines.set(at, self.connect)
 
-    def need(self) -> float:
+    def request_connection(self) -> float:
         """A call, a release or a probe needs a connection; how long its dial has to wait."""
-        wait = self.servers.dialing.needed(self.host)
-        self.want(wait)
+        wait = self.pool.dialing.needed(self.host)
+        self.schedule_dial(wait)
         return wait
 
     def unreachable(self, failure: Failure) -> None:
@@ -214,17 +120,17 @@
         refused = isinstance(failure.value, ConnectionRefusedError)
         log.info("%s: no connection: %s", self.host, failure.type.__name__ if failure.type else failure.value)
         self.broker.tally.avoided(self.host, "connection", True)
-        self.servers.dialing.failed(self.host)
+        self.pool.dialing.failed(self.host)
         waiting, self.waiting = self.waiting, []
         probes, self.probes = self.probes, []
         if self.connections:  # guards against dialing for each set-up a server that takes no more connections
-            self.enough_until = self.servers.clock.now() + ENOUGH_MS
-            if refused and self.servers.probes:
-                self.test(list(self.connections))
+            self.enough_until = self.pool.clock.now() + ENOUGH_MS
+            if refused and self.pool.probes:
+                self.lag.test(list(self.connections))
         elif refused:
             # Guards against being ahead of the cuts themselves: a reset connection is heard before them.
-            refused_at = self.servers.clock.now()
-            self.servers.deadlines.set(refused_at + CUT_MS, lambda: self._process_died(refused_at))
+            refused_at = self.pool.clock.now()
+            self.pool.deadlines.set(refused_at + CUT_MS, lambda: self._process_died(refused_at))
         for attempt in waiting:
             self.broker.ended(attempt, Outcome.CONNECT_FAILED)
         for number in probes:
@@ -240,20 +146,20 @@
         self.broker.cut(self.host, refused_at, "its process is dead")
         if self.retired is not None and self.retired.opened_at <= refused_at:
             self.retired.drop()
-            self.down(self.retired)
+            self.connection_closed(self.retired)
 
     def _again(self, pause_ms: float) -> None:
-        self.want(self.servers.dialing.again(self.host, pause_ms))
+        self.schedule_dial(self.pool.dialing.again(self.host, pause_ms))
 
-    def up(self, connection: ServerConnection) -> None:
+    def connection_opened(self, connection: ServerConnection) -> None:
         if not self.listed:
             connection.drop()
             return
         log.info("%s: connected", self.host)
         self.broker.tally.avoided(self.host, "connection", False)
-        self.servers.dialing.up(self.host)
-        connection.opened_at = connection.heard_at = connection.reported_at = self.servers.clock.now()
-        connection.slot = self.servers.connections.add(connection)
+        self.pool.dialing.up(self.host)
+        connection.opened_at = connection.heard_at = connection.reported_at = self.pool.clock.now()
+        connection.slot = self.pool.connections.add(connection)
         self.connections.append(connection)
         self.replacing, self.redial_pause_ms = False, REDIAL_MS
         if not self.greets:
@@ -269,14 +175,14 @@
 
     def say_pending_releases(self, connection: ServerConnection) -> None:
         """Releases that waited for a connection go out, unless their calls have begun anew there."""
-        pending, self.owed = self.owed, {}
+        pending, self.pending_releases = self.pending_releases, {}
         for tag, cause in pending.items():
             self.broker.recorder.release_paid(self.host, tag)
             request = self.broker.find(tag)
             if request is None or request.attempt is None or request.attempt.server != self.host:
                 connection.release(tag, cause)
 
-    def down(self, connection: ServerConnection) -> None:
+    def connection_closed(self, connection: ServerConnection) -> None:
         """The set-ups open on a connection that breaks are reset; calls that stand are not its own."""
         if connection is self.retired:
             self.retired = None
@@ -304,11 +210,11 @@
             return
         if kept is not None:
             kept.drop()
-            self.down(kept)
+            self.connection_closed(kept)
         out = self._take_out_of_use(connection)
         self.retired, connection.retired = connection, True
         log.info("%s: connection silent since %.0f ms, kept to be heard, %d set-ups reset", self.host,
-                 self.servers.clock.now() - connection.heard_at, len(out))
+                 self.pool.clock.now() - connection.heard_at, len(out))
         for tag in out:
             connection.say(Message("FINISH", tag, rc=jsonl.NORMAL))
         self._reset(out)
@@ -317,7 +223,7 @@
     def _take_out_of_use(self, connection: ServerConnection) -> dict[str, Attempt]:
         """Nothing more goes out on a connection; returns the attempts that are out on it."""
         self.connections.remove(connection)
-        self.servers.connections.free(connection.slot)
+        self.pool.connections.free(connection.slot)
         out, connection.out = connection.out, {}
         return out
 
@@ -330,29 +236,29 @@
         releases, connection.releases = connection.releases, OrderedDict()
         if not self.listed:
             return
-        oldest = self.servers.clock.now() - CONFIRM_MS
+        oldest = self.pool.clock.now() - CONFIRM_MS
         for tag, (cause, said_at) in releases.items():
             if said_at >= oldest:
                 self._release_later(tag, cause)
 
     def _release_later(self, tag: str, cause: int) -> None:
-        self.owed[tag] = cause
+        self.pending_releases[tag] = cause
         self.broker.recorder.release_owed(self.host, tag)
 
     def _replace(self, connection: ServerConnection) -> None:
         """Dials again after a loss, also where others are open: on the next connection the server tells again
         what was lost with this one."""
-        self.servers.dialing.lost(self.host)
+        self.pool.dialing.lost(self.host)
         self.replacing = True
         # Guards against a server that closes each new connection at once.
-        lasted = self.servers.clock.now() >= connection.opened_at + REDIAL_MS
+        lasted = self.pool.clock.now() >= connection.opened_at + REDIAL_MS
         self._again(0.0 if lasted else REDIAL_MS)
 
     # Liveness
 
     def sign_of_life(self, connection: ServerConnection) -> None:
         """Something was read on a connection, or it came up at a server that does not greet."""
-        if self.liveness.heard(self.servers.clock.now(), connection.opened_at):
+        if self.liveness.heard(self.pool.clock.now(), connection.opened_at):
             log.info("%s: liveness: suspected -> alive, heard on connection %d", self.host, connection.slot)
             if self.replacing:
                 self.connect()  # guards against waiting for the next dial's time with what it is told on it
@@ -361,7 +267,7 @@
 
     def _return_to_use(self, connection: ServerConnection) -> None:
         self.retired, connection.retired = None, False
-        connection.slot = self.servers.connections.add(connection)
+        connection.slot = self.pool.connections.add(connection)
         self.connections.append(connection)
 
     def look(self, now_ms: float) -> None:
@@ -381,7 +287,7 @@
 
     def ask_for_life(self, since_ms: float | None) -> None:
         """Tests the connections, or where tests are not allowed dials a new one, which is greeted."""
-        if not self.servers.probes:
+        if not self.pool.probes:
             self._make_room()
             self.connect()
             return
@@ -401,20 +307,20 @@
         if self.dialing is None and self.open_connections() >= CONNECTIONS_MOST and len(idle) > 1:
             oldest = min(idle, key=lambda at: at.heard_at)
             oldest.drop()
-            self.down(oldest)
+            self.connection_closed(oldest)
 
     def calls_lost(self, since_ms: float, stood_by_ms: float) -> None:
         """A server has been silent for too long: its calls are over, for their callers and for itself.
 
         It may only have been cut off, and still hold them: it is told on a connection that is newer than its
         silence, now or later."""
-        silent_ms = self.servers.clock.now() - since_ms
+        silent_ms = self.pool.clock.now() - since_ms
         log.warning("%s: liveness: suspected -> lost, silent for %.0f ms", self.host, silent_ms)
         over = self.broker.cut(self.host, stood_by_ms, f"silent for {silent_ms:.0f} ms")
         old = [at for at in self.connections if at.opened_at <= since_ms]
         for connection in old if self.retired is None else [*old, self.retired]:
             connection.drop()
-            self.down(connection)
+            self.connection_closed(connection)
         for tag in over:
             self._release_later(tag, jsonl.NORMAL)
         if self.connections:
@@ -423,15 +329,15 @@
     def leave(self) -> None:
         """The server is off the list: nothing is sent, no call stands there any more."""
         self.listed = False
-        for tag in self.owed:
+        for tag in self.pending_releases:
             self.broker.recorder.release_paid(self.host, tag)
-        for deadline in (self.redial, self.checking):
-            if deadline is not None:
-                deadline.cancel()
+        self.lag.stop()
+        if self.redial is not None:
+            self.redial.cancel()
         self.reset(math.inf, "off the list")
         if self.retired is not None:
             self.retired.drop()
-            self.down(self.retired)
+            self.connection_closed(self.retired)
         if self.dialing is not None:
             self.dialing.cancel()
         waiting, self.waiting = self.waiting, []
@@ -443,7 +349,7 @@
         self.broker.cut(self.host, before_ms, why)
         for connection in [at for at in self.connections if at.opened_at <= before_ms]:
             connection.drop()
-            self.down(connection)
+            self.connection_closed(connection)
 
     # Sending
 
@@ -451,15 +357,15 @@
         request, link = attempt.request, attempt.request.last_link
         if not self.connections:
             self.waiting.append(attempt)
-            if self.need() > self.servers.connect_timeout_ms and attempt in self.waiting:
+            if self.request_connection() > self.pool.connect_timeout_ms and attempt in self.waiting:
                 self.waiting.remove(attempt)  # its turn comes too late: another server
                 self.broker.ended(attempt, Outcome.CONNECT_FAILED)
             return
         # Guards against second copies of the last attempt's answer: elsewhere they are not this one's.
         chosen = min(self.connections, key=lambda at: (len(at.out) + (at.slot == link), at.opened_at))
         if chosen.out and len(self.connections) < CONNECTIONS_MOST and attempt.sent_at >= self.enough_until:
-            self.need()  # the fewer set-ups share a connection, the fewer break with it
-        left = max(1, round(attempt.end_at - self.servers.clock.now()))
+            self.request_connection()  # the fewer set-ups share a connection, the fewer break with it
+        left = max(1, round(attempt.end_at - self.pool.clock.now()))
         opts = {"class": request.call_class, "left": str(left)}
         if request.key:
             opts["key"] = request.key
@@ -475,19 +381,19 @@
             if connection.out.get(attempt.request.id) is attempt:
                 del connection.out[attempt.request.id], connection.sent_in[attempt.request.id]
                 connection.say(Message("FINISH", attempt.request.id, rc=jsonl.NORMAL))
-                if connection.heard_at <= attempt.sent_at < self.servers.clock.now() - SILENT_MS:
+                if connection.heard_at <= attempt.sent_at < self.pool.clock.now() - SILENT_MS:
                     self.retire(connection)  # nothing came while it waited: no better for the next
 
     def release(self, tag: str, cause: int) -> None:
         """Ends a call that stands here: on any connection, on the next if none is open."""
         if not self.connections or not self.connections[0].release(tag, cause):
             self._release_later(tag, cause)
-            self.need()
+            self.request_connection()
 
     def probe(self, number: int) -> None:
         if not self.connections:
             self.probes.append(number)
-            self.need()
+            self.request_connection()
         else:
             self.connections[0].say(Message("ECHO", f"{number:016x}", rc=1))
 
@@ -504,11 +410,11 @@
     def hear(self, connection: ServerConnection, message: Message) -> None:
         match message.verb:
             case "STARTED":
-                self.answered(connection, message, connection.take(message.tag))
+                self.answered(connection, message, connection.match_response(message.tag))
             case "FINISH":
-                self.finished(connection, message, connection.take(message.tag))
+                self.finished(connection, message, connection.match_response(message.tag))
             case "LOAD":
-                self.reported(connection)
+                self.lag.reported(connection)
                 # Each connection brings it: the module hears it once, as from the simulator.
                 if (report := self.report(message)) and connection is self.connections[0]:
                     self.broker.reported(self.host, report)
@@ -524,56 +430,6 @@
             case _:
                 raise BadLineError(f"verb: unknown: {message.verb}")
 
-    def test(self, connections: list[ServerConnection]) -> None:
-        """Guards against silent connections that stay open: each has to answer."""
-        if not connections:
-            return
-        asked = self.servers.clock.now()
-        for connection in connections:
-            connection.tested_at = asked
-            connection.say(Message("ECHO", "0" * 16, rc=0))
-        self.servers.deadlines.set(asked + REPORT_MS, lambda: self.tested(connections, asked))
-
-    def tested(self, connections: list[ServerConnection], asked: float) -> None:
-        """Closes those that have said nothing since they were asked."""
-        for connection in connections:
-            if connection in self.connections and connection.heard_at <= asked:
-                log.info("%s: connection %d does not answer", self.host, connection.slot)
-                connection.spoilt()
-
-    def reported(self, connection: ServerConnection) -> None:
-        """A report came unasked. It comes on each connection, on all at once or on each in its own time."""
-        connection.reported_at = self.servers.clock.now()
-        if not connection.greeted:
-            connection.greeted = self.greets = True  # a new connection's own report goes to no other
-            return
-        self.reported_at = connection.reported_at
-        for other in self.connections:
-            if other.reported_at < self.reported_at - REPORT_MS:  # else it has had this one, or the last
-                other.behind_since = min(other.behind_since, self.reported_at)
-        if self.checking is None:
-            self.checking = self.servers.deadlines.set(self.reported_at + REPORT_MS, self.check)
-
-    def check(self) -> None:
-        """Guards against a connection that stays open and silent: with few set-ups out, it gets ever more.
-
-        One that lags behind the others is tested; where tests are not allowed, it is closed once it has
-        lagged for as long as a set-up may go unheard."""
-        self.checking = None
-        now = self.servers.clock.now()
-        behind = [at for at in self.connections if at.behind_since <= now - REPORT_MS]
-        if self.servers.probes:
-            self.test([at for at in behind if at.tested_at <= now - SILENT_MS])
-            return
-        for connection in behind:
-            if connection.behind_since <= now - SILENT_MS:
-                log.info("%s: connection %d has fallen silent, %.0f ms behind the others", self.host,
-                         connection.slot, now - connection.behind_since)
-                connection.spoilt()
-        lagging = [at.behind_since for at in self.connections if at.behind_since < math.inf]
-        if lagging:
-            self.checking = self.servers.deadlines.set(min(lagging) + SILENT_MS, self.check)
-
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is None and self.broker.recorder.defers(
                 message.tag, self.host, lambda: self.answered(connection, message, None)):
@@ -603,7 +459,7 @@
             self.broker.ended(attempt, outcome, note, report=self.report(message))
         elif request is None:
             over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
-            self.broker.over_unknown(message.tag, self.servers.front, over)
+            self.broker.over_unknown(message.tag, self.pool.front, over)
         elif request.attempt is not None and request.attempt.server == self.host:
             if request.state is State.STANDING and message.rc in AFTER:
                 over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
@@ -615,89 +471,3 @@
                 self.broker.over_early(request.attempt, confirm)
                 return
         self.broker.recorder.barrier(confirm)
-
-
-class LobbyServers:
-    """All lobby servers of the list, as the broker's route."""
-
-    def __init__(self, broker: Broker, front: Front, connect: Connect, connect_timeout_ms: float) -> None:
-        self.broker, self.front, self.connect = broker, front, connect
-        self.connect_timeout_ms = connect_timeout_ms
-        self.clock, self.deadlines = broker.clock, broker.deadlines
-        self.connections: Slots[ServerConnection] = Slots()
-        self.lobbies: dict[str, Lobby] = {}
-        self.dialing: Dialing = EAGER
-        self.due: Callable[[int], None] = lambda connections: None  # told how many these may open in all
-        self.probes = broker.rules.settings.probes  # whether servers may be tested
-        self._looked_at_ms = self.clock.now()
-
-    def start(self) -> None:
-        """Looks after silent servers from now on."""
-        self._looked_at_ms = self.clock.now()
-        self.deadlines.set(self._looked_at_ms + PERIOD_MS, self._look)
-
-    def _look(self) -> None:
-        now = self.clock.now()
-        paused = now - self._looked_at_ms > PAUSE_MS
-        self._looked_at_ms = now
-        if paused:
-            log.warning("this process was paused: servers get time to be heard")
-        for lobby in list(self.lobbies.values()):
-            if paused:
-                lobby.liveness.paused(now)
-            lobby.look(now)
-        self.deadlines.set(now + PERIOD_MS, self._look)
-
-    def add(self, host: str, dial: str, born_ms: float) -> None:
-        """A server that is on the list, before the module hears of it."""
-        lobby = self.lobbies.get(host)
-        if lobby is not None and lobby.dial != dial:
-            self.remove(host)
-            lobby = None
-        if lobby is None:
-            lobby = self.lobbies[host] = Lobby(self, host, dial)
-            self.due(len(self.lobbies) * CONNECTIONS_MOST)
-        if born_ms:
-            lobby.reset(born_ms, "a new process")
-        if not lobby.connections and self.dialing.wanted(host):
-            lobby.want(self.dialing.first(host))
-
-    def remove(self, host: str) -> None:
-        lobby = self.lobbies.pop(host, None)
-        if lobby is not None:
-            lobby.leave()
-            self.due(len(self.lobbies) * CONNECTIONS_MOST)
-
-    def resume(self, releases: Iterable[tuple[str, str]]) -> None:
-        """Servers and calls: what is to be released there since before a restart."""
-        for host, tag in releases:
-            if host in self.lobbies:
-                self.lobbies[host].release(tag, jsonl.NORMAL)
-            else:
-                self.broker.recorder.release_paid(host, tag)
-
-    def send(self, attempt: Attempt) -> None:
-        lobby = self.lobbies.get(attempt.server)
-        if lobby is None:
-            self.broker.ended(attempt, Outcome.CONNECT_FAILED)
-        else:
-            lobby.send(attempt)
-
-    def give_up(self, attempt: Attempt) -> None:
-        if attempt.server in self.lobbies:
-            self.lobbies[attempt.server].give_up(attempt)
-
-    def release(self, attempt: Attempt) -> None:
-        if attempt.server in self.lobbies:
-            self.lobbies[attempt.server].release(attempt.request.id, jsonl.NORMAL)
-
-    def release_unknown(self, call: str) -> None:
-        for lobby in self.lobbies.values():
-            lobby.release(call, jsonl.NORMAL)
-
-    def probe(self, server: str, number: int) -> None:
-        lobby = self.lobbies.get(server)
-        if lobby is None:
-            self.broker.probed(number, Outcome.CONNECT_FAILED)
-        else:
-            lobby.probe(number)
--- /dev/null
+++ b/frostport/net/upstream_pool.py
@@ -0,0 +1,104 @@
+"""All upstream servers of the list, as the broker's route."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+
+from frostport.core.broker import Broker
+from frostport.core.calls import Attempt, Front
+from frostport.core.dialing import EAGER, Dialing
+from frostport.core.server_liveness import PAUSE_MS, PERIOD_MS
+from frostport.core.slots import Slots
+from frostport.interface import Outcome
+from frostport.net import jsonl
+from frostport.net.upstream import CONNECTIONS_MOST, Connect, UpstreamServer
+from frostport.net.upstream_connection import ServerConnection
+
+log = logging.getLogger("frostport.upstream")
+
+
+class UpstreamPool:
+    """All upstream servers of the list, as the broker's route."""
+
+    def __init__(self, broker: Broker, front: Front, connect: Connect, connect_timeout_ms: float) -> None:
+        self.broker, self.front, self.connect = broker, front, connect
+        self.connect_timeout_ms = connect_timeout_ms
+        self.clock, self.deadlines = broker.clock, broker.deadlines
+        self.connections: Slots[ServerConnection] = Slots()
+        self.members: dict[str, UpstreamServer] = {}
+        self.dialing: Dialing = EAGER
+        self.due: Callable[[int], None] = lambda connections: None  # told how many these may open in all
+        self.probes = broker.rules.settings.probes  # whether servers may be tested
+        self._looked_at_ms = self.clock.now()
+
+    def start(self) -> None:
+        """Looks after silent servers from now on."""
+        self._looked_at_ms = self.clock.now()
+        self.deadlines.set(self._looked_at_ms + PERIOD_MS, self._look)
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        paused = now - self._looked_at_ms > PAUSE_MS
+        self._looked_at_ms = now
+        if paused:
+            log.warning("this process was paused: servers get time to be heard")
+        for server in list(self.members.values()):
+            if paused:
+                server.liveness.paused(now)
+            server.look(now)
+        self.deadlines.set(now + PERIOD_MS, self._look)
+
+    def add(self, host: str, dial: str, born_ms: float) -> None:
+        """A server that is on the list, before the module hears of it."""
+        server = self.members.get(host)
+        if server is not None and server.dial != dial:
+            self.remove(host)
+            server = None
+        if server is None:
+            server = self.members[host] = UpstreamServer(self, host, dial)
+            self.due(len(self.members) * CONNECTIONS_MOST)
+        if born_ms:
+            server.reset(born_ms, "a new process")
+        if not server.connections and self.dialing.wanted(host):
+            server.schedule_dial(self.dialing.first(host))
+
+    def remove(self, host: str) -> None:
+        server = self.members.pop(host, None)
+        if server is not None:
+            server.leave()
+            self.due(len(self.members) * CONNECTIONS_MOST)
+
+    def resume(self, releases: Iterable[tuple[str, str]]) -> None:
+        """Servers and calls: what is to be released there since before a restart."""
+        for host, tag in releases:
+            if host in self.members:
+                self.members[host].release(tag, jsonl.NORMAL)
+            else:
+                self.broker.recorder.release_paid(host, tag)
+
+    def send(self, attempt: Attempt) -> None:
+        server = self.members.get(attempt.server)
+        if server is None:
+            self.broker.ended(attempt, Outcome.CONNECT_FAILED)
+        else:
+            server.send(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        if attempt.server in self.members:
+            self.members[attempt.server].give_up(attempt)
+
+    def release(self, attempt: Attempt) -> None:
+        if attempt.server in self.members:
+            self.members[attempt.server].release(attempt.request.id, jsonl.NORMAL)
+
+    def release_unknown(self, call: str) -> None:
+        for server in self.members.values():
+            server.release(call, jsonl.NORMAL)
+
+    def probe(self, server: str, number: int) -> None:
+        member = self.members.get(server)
+        if member is None:
+            self.broker.probed(number, Outcome.CONNECT_FAILED)
+        else:
+            member.probe(number)
--- a/frostport/sides.py
+++ b/frostport/sides.py
@@ -19,9 +19,9 @@
 from frostport.core.lifecycle import Lifecycle
 from frostport.net.bus import EventBus, ServerList
 from frostport.net.front import PlatformFront
-from frostport.net.lobby import LobbyServers
 from frostport.net.peers import Peers
 from frostport.net.peers import listen as listen_peers
+from frostport.net.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:  # loaded only where a store is set
     from frostport.state.records import Standing
@@ -50,7 +50,7 @@
     def __init__(self, agent: Parts) -> None:
         self.agent, config = agent, agent.config
         self.front = PlatformFront(agent.broker, agent.lifecycle, agent.gate)
-        self.servers = LobbyServers(agent.broker, self.front, agent.connect,
+        self.servers = UpstreamPool(agent.broker, self.front, agent.connect,
                                     config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS)
         agent.broker.route = self.servers
         due = agent.gate.descriptors.due
@@ -97,7 +97,7 @@
 
     def calls(self, server: str) -> bool:
         """Whether this server can still be called."""
-        return server in self.servers.lobbies
+        return server in self.servers.members
 
     def leave(self) -> None:
         """Nothing is said to anyone: calls that stand do so without this program."""
--- a/frostport/starting.py
+++ b/frostport/starting.py
@@ -171,7 +171,7 @@
         message = _messages.decode(body)
         if not isinstance(message, messages.Enough):
             for target, level in message.pressed:
-                if target == LIST or target in self._joined.side.servers.lobbies:
+                if target == LIST or target in self._joined.side.servers.members:
                     self.turns.heard(target, level, self.monotonic.now())
         self.teller = sender
         self._feed(feeding.Heard(sender, message))
@@ -238,7 +238,7 @@
             agent.deadlines.set(agent.clock.now(), lambda: self._ask(target))
 
     def _ask(self, target: str) -> None:
-        lobby = self._joined.side.servers.lobbies.get(target)
+        lobby = self._joined.side.servers.members.get(target)
         for connection in lobby.connections if lobby is not None else ():
             if connection.heard_at <= connection.opened_at:
                 connection.say(Message("ECHO", "0" * 16, rc=0))
@@ -265,7 +265,7 @@
     # Lobby servers at first
 
     def _choose(self) -> None:
-        servers = self._joined.side.servers.lobbies
+        servers = self._joined.side.servers.members
         listed = frozenset(servers)
         if listed == self.chosen_of:
             return
@@ -284,7 +284,7 @@
 
     def _look(self, now: float) -> None:
         agent = self._joined
-        lobbies = agent.side.servers.lobbies
+        lobbies = agent.side.servers.members
         answering = sum(any(at.heard_at > at.opened_at for at in lobbies[host].connections)
                         for host in self.chosen if host in lobbies)
         members = list(self.fleet.swim.table.here()) if self.fleet is not None else []
--- a/trials/planted.py
+++ b/trials/planted.py
@@ -15,12 +15,12 @@
 from frostport.cli import main
 from frostport.core.broker import Broker
 from frostport.net.front import PlatformFront
-from frostport.net.lobby import LobbyServers
+from frostport.net.upstream_pool import UpstreamPool
 
 
 def release_not_sent() -> None:
     """A call that its client ends is left standing at its server."""
-    setattr(LobbyServers, "release", lambda self, attempt: None)  # noqa: B010 (mypy knows it as a method)
+    setattr(UpstreamPool, "release", lambda self, attempt: None)  # noqa: B010 (mypy knows it as a method)
 
 
 def guard_left_out() -> None:
@@ -68,7 +68,7 @@
 
 def silence_ignored() -> None:
     """Nobody looks after servers that have fallen silent."""
-    setattr(LobbyServers, "_look", lambda self: None)  # noqa: B010
+    setattr(UpstreamPool, "_look", lambda self: None)  # noqa: B010
 
 
 DEFECTS: dict[str, Callable[[], None]] = {
