--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -59,8 +59,10 @@
         warm = min(1.0, max(0.0, now - self.started) / COLD_MS)
         rate = self.rate * (COLD_FROM + (1.0 - COLD_FROM) * warm)
         self.free_at = max(self.free_at, now) + 1000.0 / rate
-        self.clock.at(self.free_at - now + WAY_MS,
-                      lambda: then(api.Outcome.OK if self.life == life else api.Outcome.RESET, 0.0))
+        self.clock.at(
+            self.free_at - now + WAY_MS,
+            lambda: then(api.Outcome.OK if self.life == life else api.Outcome.RESET, 0.0),
+        )
 
     def down(self) -> None:
         self.up, self.life = False, self.life + 1
@@ -85,10 +87,18 @@
         self.calls.clear()
         self.there = dict.fromkeys(self.world.servers, 0)
         settings = api.Settings(
-            (api.CallClass("race", AIM_MS, DEADLINE_MS, holding_ms=1000.0),), me=self.number,
-            siblings=len(self.world.names), release_guard_ms=GUARD_MS, retransmit_ms=400.0,
-            cold_from=COLD_FROM, cold_ms=COLD_MS, fall_multiple=3.0, fall_ms=2000.0, try_limit=4,
-            may_cancel=True)
+            (api.CallClass("race", AIM_MS, DEADLINE_MS, holding_ms=1000.0),),
+            me=self.number,
+            siblings=len(self.world.names),
+            release_guard_ms=GUARD_MS,
+            retransmit_ms=400.0,
+            cold_from=COLD_FROM,
+            cold_ms=COLD_MS,
+            fall_multiple=3.0,
+            fall_ms=2000.0,
+            try_limit=4,
+            may_cancel=True,
+        )
         self.module = Controller(settings, self.world.chance.getrandbits(32))
         self.listed(api.ListKind.PERSISTED)
 
@@ -97,10 +107,24 @@
 
     def listed(self, kind: api.ListKind = api.ListKind.COMPLETE) -> None:
         now = self.world.clock.now
-        self.handle(api.ListUpdate(kind, 1, tuple(
-            api.Server(server.name, server.number, api.Lifecycle.DRAINING if server.name in self.held
-                       else api.Lifecycle.READY, "", max(0.0, server.started), server.rate)
-            for server in self.world.servers.values())), now)
+        self.handle(
+            api.ListUpdate(
+                kind,
+                1,
+                tuple(
+                    api.Server(
+                        server.name,
+                        server.number,
+                        api.Lifecycle.DRAINING if server.name in self.held else api.Lifecycle.READY,
+                        "",
+                        max(0.0, server.started),
+                        server.rate,
+                    )
+                    for server in self.world.servers.values()
+                ),
+            ),
+            now,
+        )
 
     def handle(self, event: api.Event, now: float) -> None:
         life = self.life
@@ -152,12 +176,14 @@
 class World:
     """Agents, servers, a balancer, and calls at a rate."""
 
-    def __init__(self, clock: Clock, agents: int, servers: int, rate: float, a_second: float,
-                 seed: int) -> None:
+    def __init__(
+        self, clock: Clock, agents: int, servers: int, rate: float, a_second: float, seed: int
+    ) -> None:
         """`rate`: set-ups a second that each server bears; `a_second`: calls."""
         self.clock, self.chance, self.rate = clock, random.Random(seed), a_second
-        self.servers = {f"h{number}": LobbyServer(clock, f"h{number}", number, rate)
-                        for number in range(servers)}
+        self.servers = {
+            f"h{number}": LobbyServer(clock, f"h{number}", number, rate) for number in range(servers)
+        }
         self.names = [f"a{number}" for number in range(agents)]
         self.agents = {name: Agent(self, name, number) for number, name in enumerate(self.names)}
         self.count = 0
@@ -186,6 +212,8 @@
         """Of the calls between two times: the share in time, how many were not, and the worst 10 s."""
         a, b = int(first / 1000.0), max(int(first / 1000.0) + 10, int(last / 1000.0))
         arrived, good = self.arrived[a:b], self.good[a:b]
-        worst = min(sum(good[at:at + 10]) / max(1, sum(arrived[at:at + 10]))
-                    for at in range(max(1, len(good) - 9)))
+        worst = min(
+            sum(good[at : at + 10]) / max(1, sum(arrived[at : at + 10]))
+            for at in range(max(1, len(good) - 9))
+        )
         return sum(good) / sum(arrived), sum(arrived) - sum(good), worst
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -77,9 +77,12 @@
             await ready(rig)
             all_ready = time.monotonic() - began
             label = f"{count} {'with' if part else 'without'}"
-            print(f"{label}: all serve after {all_ready:.1f} s; {seen(parties, wall)}; "
-                  f"longest line at the list service {parties['list'].processor.longest_ms / 1000.0:.1f} s; "
-                  f"whole lists {site.costly.whole_lists}", flush=True)
+            print(
+                f"{label}: all serve after {all_ready:.1f} s; {seen(parties, wall)}; "
+                f"longest line at the list service {parties['list'].processor.longest_ms / 1000.0:.1f} s; "
+                f"whole lists {site.costly.whole_lists}",
+                flush=True,
+            )
             site.call()
             await asyncio.sleep(10.0)
             asked, stand = sum(caller.count for caller in site.callers), len(site.books.waits_ms)
@@ -90,8 +93,11 @@
             await asyncio.sleep(CALM_S)
             after, memory = cost(rig)
             rate = (site.books.answers - answers) / CALM_S
-            print(f"{label}: calm {(after - before) / CALM_S / count * 1000.0:.2f} ms CPU a second and "
-                  f"agent, at {rate:.0f} calls a second in all; {memory:.1f} MB", flush=True)
+            print(
+                f"{label}: calm {(after - before) / CALM_S / count * 1000.0:.2f} ms CPU a second and "
+                f"agent, at {rate:.0f} calls a second in all; {memory:.1f} MB",
+                flush=True,
+            )
             for party in parties.values():
                 party.away()
             await asyncio.sleep(AWAY_S)
@@ -100,13 +106,17 @@
             for party in parties.values():
                 await party.open()
             await asyncio.sleep(25.0)
-            last = {name: max((at - back for at in party.accepted if at >= back), default=0.0)
-                    for name, party in parties.items()}
-            print(f"{label}: after {AWAY_S:.0f} s away {seen(parties, back)}; last at the servers after "
-                  f"{max(last[name] for name in last if name != 'list'):.1f} s; longest line at the list "
-                  f"service {parties['list'].processor.longest_ms / 1000.0:.1f} s; "
-                  f"whole lists {site.costly.whole_lists}; stand-ins' faults {len(site.books.faults)}",
-                  flush=True)
+            last = {
+                name: max((at - back for at in party.accepted if at >= back), default=0.0)
+                for name, party in parties.items()
+            }
+            print(
+                f"{label}: after {AWAY_S:.0f} s away {seen(parties, back)}; last at the servers after "
+                f"{max(last[name] for name in last if name != 'list'):.1f} s; longest line at the list "
+                f"service {parties['list'].processor.longest_ms / 1000.0:.1f} s; "
+                f"whole lists {site.costly.whole_lists}; stand-ins' faults {len(site.books.faults)}",
+                flush=True,
+            )
 
 
 def played(job: tuple[str, int]) -> str:
@@ -123,8 +133,12 @@
     jobs = [(case, seed) for case in test_startup.CASES for seed in range(3)]
     with concurrent.futures.ProcessPoolExecutor() as pool:
         bad = [said for said in pool.map(played, jobs) if said]
-    print(f"1,000 agents, {len(jobs)} plays of {len(test_startup.CASES)} hard cases: {len(jobs) - len(bad)} "
-          f"without a collapse, all serve, no drain heard late", *bad, sep="\n")
+    print(
+        f"1,000 agents, {len(jobs)} plays of {len(test_startup.CASES)} hard cases: {len(jobs) - len(bad)} "
+        f"without a collapse, all serve, no drain heard late",
+        *bad,
+        sep="\n",
+    )
 
 
 def main() -> None:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -61,9 +61,11 @@
                 buried += told.state is State.DEAD
         first = [min(times) for times in found.values() if times]
         last = [max(times) for times in found.values() if times]
-        print(f"loss {share:.0%}: one view after {together / 1000.0:.0f} s; a death first known after "
-              f"{statistics.median(first):.1f} s, to all after {statistics.median(last):.1f} s; of the "
-              f"living {suspected / 97 / 3:.1f} a minute suspected, {buried / 97:.1f} in all told dead")
+        print(
+            f"loss {share:.0%}: one view after {together / 1000.0:.0f} s; a death first known after "
+            f"{statistics.median(first):.1f} s, to all after {statistics.median(last):.1f} s; of the "
+            f"living {suspected / 97 / 3:.1f} a minute suspected, {buried / 97:.1f} in all told dead"
+        )
 
 
 def size() -> None:
@@ -74,17 +76,22 @@
         world.run(60_000.0)
         sent, data, began = world.sent, world.bytes, time.process_time()
         world.run(120_000.0)
-        print(f"size {count}: {(world.sent - sent) / 120 / count:.1f} datagrams and "
-              f"{(world.bytes - data) / 120 / count:.0f} bytes a second an agent (less head and digest), "
-              f"{(time.process_time() - began) * 1000.0 / 120 / count:.2f} ms CPU with the simulation's own")
+        print(
+            f"size {count}: {(world.sent - sent) / 120 / count:.1f} datagrams and "
+            f"{(world.bytes - data) / 120 / count:.0f} bytes a second an agent (less head and digest), "
+            f"{(time.process_time() - began) * 1000.0 / 120 / count:.2f} ms CPU with the simulation's own"
+        )
 
 
 # Real processes
 
 
 async def acknowledged(rig: Rig, name: str, since: float) -> list[float]:
-    return [line["after_ms"] for line in rig.records(name)
-            if line["event"] == "acknowledged" and line["unix_ms"] >= since * 1000.0]
+    return [
+        line["after_ms"]
+        for line in rig.records(name)
+        if line["event"] == "acknowledged" and line["unix_ms"] >= since * 1000.0
+    ]
 
 
 async def commands(voters: int, seconds: float = 6.0) -> None:
@@ -102,9 +109,11 @@
                 await asyncio.gather(*(ask() for _ in range(askers)))
                 await asyncio.sleep(0.5)
                 waits = await acknowledged(rig, leader, began)
-                print(f"commands, {voters} voters, {askers} askers at the leader's door: "
-                      f"{len(waits) / seconds:.0f} a second, p50 {percentile(waits, 0.5):.1f}, "
-                      f"p99 {percentile(waits, 0.99):.1f} ms to commit, durable")
+                print(
+                    f"commands, {voters} voters, {askers} askers at the leader's door: "
+                    f"{len(waits) / seconds:.0f} a second, p50 {percentile(waits, 0.5):.1f}, "
+                    f"p99 {percentile(waits, 0.99):.1f} ms to commit, durable"
+                )
 
 
 async def without_a_leader(how: str) -> float:
@@ -123,8 +132,12 @@
             others = [name for name in rig.names if name != leader]
             await rig.leader(others)
             await asyncio.sleep(0.5)
-            led: list[float] = [line["unix_ms"] - at for name in others for line in rig.records(name)
-                                if line["event"] == "leader" and line["unix_ms"] > at]
+            led: list[float] = [
+                line["unix_ms"] - at
+                for name in others
+                for line in rig.records(name)
+                if line["event"] == "leader" and line["unix_ms"] > at
+            ]
             return min(led) / 1000.0
 
 
@@ -143,11 +156,16 @@
             await asyncio.sleep(seconds)
             used = [(cpu_ms(pid) - before) / seconds for pid, before in zip(pids, cpu, strict=True)]
             memory = [memory_mb(pid) for pid in pids]
-            false = sum(json.loads(line)["event"] == "member" and json.loads(line)["state"] == "dead"
-                        for name in rig.names for line in (rig.folder / f"{name}.jsonl").open())
-            print(f"many {count}: one view {together:.1f} s after the first start; at rest "
-                  f"{statistics.median(used):.1f} ms CPU a second (voters {max(used[:3]):.1f}), "
-                  f"{statistics.median(memory):.1f} MB an agent; {false} told as dead")
+            false = sum(
+                json.loads(line)["event"] == "member" and json.loads(line)["state"] == "dead"
+                for name in rig.names
+                for line in (rig.folder / f"{name}.jsonl").open()
+            )
+            print(
+                f"many {count}: one view {together:.1f} s after the first start; at rest "
+                f"{statistics.median(used):.1f} ms CPU a second (voters {max(used[:3]):.1f}), "
+                f"{statistics.median(memory):.1f} MB an agent; {false} told as dead"
+            )
 
 
 async def catch_up(how: str, entries: int = 100_000) -> None:
@@ -171,8 +189,10 @@
 
             for name in rig.voters:
                 await rig.until(f"{name} has applied its own", lambda name=name: has(name))  # type: ignore[misc]
-            print(f"catch up by {how}: voters have read and applied {entries} entries of their own "
-                  f"{time.time() - began:.1f} s after their start")
+            print(
+                f"catch up by {how}: voters have read and applied {entries} entries of their own "
+                f"{time.time() - began:.1f} s after their start"
+            )
             waits: dict[str, list[float]] = {name: [] for name in rig.names}
             await rig.start("n3")
             while not await rig.ask("n3", "ready"):
@@ -192,15 +212,18 @@
             for task in tasks:
                 task.cancel()
             voters = [wait for name in rig.voters for wait in waits[name]]
-            print(f"catch up by {how}: all of {entries} entries {took:.1f} s after the door answers; a door "
-                  f"meanwhile, voters: p50 {percentile(voters, 0.5):.1f}, longest {max(voters):.0f} ms; n3: "
-                  f"p50 {percentile(waits['n3'], 0.5):.1f}, longest {max(waits['n3']):.0f} ms")
+            print(
+                f"catch up by {how}: all of {entries} entries {took:.1f} s after the door answers; a door "
+                f"meanwhile, voters: p50 {percentile(voters, 0.5):.1f}, longest {max(voters):.0f} ms; n3: "
+                f"p50 {percentile(waits['n3'], 0.5):.1f}, longest {max(waits['n3']):.0f} ms"
+            )
 
 
 def run(*parts: Any) -> Callable[[], None]:
     def each() -> None:
         for part in parts:
             asyncio.run(part())
+
     return each
 
 
@@ -211,10 +234,14 @@
 
 
 PARTS: dict[str, Callable[[], None]] = {
-    "loss": loss, "size": size,
+    "loss": loss,
+    "size": size,
     "commands": run(lambda: commands(1), lambda: commands(3), lambda: commands(5)),
-    "leaderless": run(leaderless), "many": run(lambda: many(10), lambda: many(50)),
-    "most": run(lambda: many(200)), "catch-up": run(lambda: catch_up("log"), lambda: catch_up("snapshot"))}
+    "leaderless": run(leaderless),
+    "many": run(lambda: many(10), lambda: many(50)),
+    "most": run(lambda: many(200)),
+    "catch-up": run(lambda: catch_up("log"), lambda: catch_up("snapshot")),
+}
 
 
 def main() -> None:
--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -39,12 +39,16 @@
         self.words = self.bytes = 0
         self.apply_s: list[float] = []
         zones = min(zones, agents)
-        self.members = {f"a{number}": Member(f"z{number % zones}", number + 1, True, False, number < 3)
-                        for number in range(agents)}
-        self.servers = {f"h{number}": Server(f"h{number}", f"z{number % zones}", 1.0, True)
-                        for number in range(servers)}
-        self.keepers = {name: Keeper(name, member.life, 0.0, True, limits)
-                        for name, member in self.members.items()}
+        self.members = {
+            f"a{number}": Member(f"z{number % zones}", number + 1, True, False, number < 3)
+            for number in range(agents)
+        }
+        self.servers = {
+            f"h{number}": Server(f"h{number}", f"z{number % zones}", 1.0, True) for number in range(servers)
+        }
+        self.keepers = {
+            name: Keeper(name, member.life, 0.0, True, limits) for name, member in self.members.items()
+        }
         self.phase = dict.fromkeys(self.members, "serving")
         self.empty_at: dict[tuple[str, str], float] = {}
         for name in self.members:
@@ -77,10 +81,23 @@
             self.do(name, action)
 
     def local(self, name: str) -> Local:
-        busy = {server: int(self.empty_at.get((name, server), 0.0) > self.now)
-                for server in self.keepers[name].holding}
-        return Local(name == "a0", 1, True, self.phase[name], True, 5.0, busy, frozenset(), frozenset(),
-                     self.seen() if name == "a0" else {}, self.servers)
+        busy = {
+            server: int(self.empty_at.get((name, server), 0.0) > self.now)
+            for server in self.keepers[name].holding
+        }
+        return Local(
+            name == "a0",
+            1,
+            True,
+            self.phase[name],
+            True,
+            5.0,
+            busy,
+            frozenset(),
+            frozenset(),
+            self.seen() if name == "a0" else {},
+            self.servers,
+        )
 
     def do(self, name: str, action: object) -> None:
         match action:
@@ -112,22 +129,28 @@
     began, words, size = fleet.now, fleet.words, fleet.bytes
     names = (*fleet.members, *fleet.servers)
     fleet.say(Request(names, "", "a new kernel", "ann", 600_000.0))
-    fleet.run(lambda: sum(ticket.state is State.DONE for ticket in fleet.plan.tickets) >= min(200, len(names))
-              and not fleet.plan.active())
+    fleet.run(
+        lambda: sum(ticket.state is State.DONE for ticket in fleet.plan.tickets) >= min(200, len(names))
+        and not fleet.plan.active()
+    )
     took = fleet.now - began
     # Nobody could be faster than this, were every drain over at once and every zone's places always full.
     zones: dict[str, list[int]] = {}
     for name, machine in fleet.plan.machines.items():
         zones.setdefault(machine.zone, [0, 0])[name not in fleet.members] += 1
-    rounds = [max(-(-(a + s) // min(limits.all, limits.zone)), -(-a // limits.agents),
-                  -(-s // limits.servers)) for a, s in zones.values()]
+    rounds = [
+        max(-(-(a + s) // min(limits.all, limits.zone)), -(-a // limits.agents), -(-s // limits.servers))
+        for a, s in zones.values()
+    ]
     least = sum(rounds) * (WORK_MS + limits.warm_ms)
     cost = sorted(fleet.apply_s)
-    print(f"{agents} agents, {servers} servers, {limits.all} at once (agents {limits.agents}, "
-          f"servers {limits.servers}): whole plan {took / 60_000:.0f} min, {took / least:.2f} times the "
-          f"least that limits, work and warm-up give; {(fleet.words - words) / len(names):.1f} words and "
-          f"{(fleet.bytes - size) / len(names):.0f} bytes a machine in the log; a word costs "
-          f"p50 {cost[len(cost) // 2] * 1e6:.0f}, longest {cost[-1] * 1e6:.0f} us at each agent")
+    print(
+        f"{agents} agents, {servers} servers, {limits.all} at once (agents {limits.agents}, "
+        f"servers {limits.servers}): whole plan {took / 60_000:.0f} min, {took / least:.2f} times the "
+        f"least that limits, work and warm-up give; {(fleet.words - words) / len(names):.1f} words and "
+        f"{(fleet.bytes - size) / len(names):.0f} bytes a machine in the log; a word costs "
+        f"p50 {cost[len(cost) // 2] * 1e6:.0f}, longest {cost[-1] * 1e6:.0f} us at each agent"
+    )
 
 
 # Calls served while machines go out: by the plan, by hand one after the other, all at once
@@ -155,8 +178,19 @@
             agent.phase = "drained"
         self.phase[name] = agent.phase
         calls = self.world.rate / max(1, sum(each.phase == "serving" for each in self.world.agents.values()))
-        return Local(name == "a0", 1, True, agent.phase, not agent.busy(), calls, dict(agent.there),
-                     frozenset(), frozenset(), self.seen() if name == "a0" else {}, self.servers)
+        return Local(
+            name == "a0",
+            1,
+            True,
+            agent.phase,
+            not agent.busy(),
+            calls,
+            dict(agent.there),
+            frozenset(),
+            frozenset(),
+            self.seen() if name == "a0" else {},
+            self.servers,
+        )
 
     def do(self, name: str, action: object) -> None:
         agent = self.world.agents[name]
@@ -194,6 +228,7 @@
                     agent.listed()
                 then()
         else:
+
             def back() -> None:
                 self.world.agents[name].boot()
                 then()
@@ -206,8 +241,11 @@
         self.run(lambda: len(self.plan.tickets) == len(names))
 
         def stuck() -> bool:
-            return all(ticket.kind == "server" and ticket.state is State.WAITING
-                       for ticket in self.plan.tickets if ticket.state is not State.DONE)
+            return all(
+                ticket.kind == "server" and ticket.state is State.WAITING
+                for ticket in self.plan.tickets
+                if ticket.state is not State.DONE
+            )
 
         self.run(stuck)
         left = [self.plan.why(ticket) for ticket in self.plan.tickets if ticket.state is State.WAITING]
@@ -246,15 +284,16 @@
 
             def enable() -> None:
                 for number, door in enumerate(doors, start=1):
-                    self.at(number * DOOR_MS,
-                            lambda door=door: self.hold(door, name, False))  # type: ignore[misc]
+                    self.at(number * DOOR_MS, lambda door=door: self.hold(door, name, False))  # type: ignore[misc]
                 self.at(len(doors) * DOOR_MS, next_one)
 
             self.at(len(doors) * DOOR_MS + LOOKS_MS, lambda: self.work(name, enable))
 
         next_one()
-        self.run(lambda: not todo and all(agent.phase == "serving" and not agent.held
-                                          for agent in self.world.agents.values()))
+        self.run(
+            lambda: not todo
+            and all(agent.phase == "serving" and not agent.held for agent in self.world.agents.values())
+        )
         return ""
 
     def at_once(self) -> str:
@@ -293,8 +332,10 @@
     jobs = [(load, how, seed) for load in (0.6, 0.95, 1.1) for how in ("plan", "hand", "all")]
     with concurrent.futures.ProcessPoolExecutor() as pool:
         for load, how, share, lost, worst, took, note in pool.map(served, *zip(*jobs, strict=True)):
-            print(f"{AGENTS} agents, {SERVERS} servers at {load:.0%} load, {how}: {share:.4f} in time, "
-                  f"{lost} calls not; worst 10 s {worst:.4f}; {took:.1f} min{note}")
+            print(
+                f"{AGENTS} agents, {SERVERS} servers at {load:.0%} load, {how}: {share:.4f} in time, "
+                f"{lost} calls not; worst 10 s {worst:.4f}; {took:.1f} min{note}"
+            )
 
 
 # From a fault to the plan's next step, or to the reason why it holds: real processes
@@ -304,8 +345,9 @@
     """Seconds until any agent's door shows a ticket's next state, or the plan's reason."""
     with tempfile.TemporaryDirectory() as folder:
         outside = Outside(1)
-        async with Rig(pathlib.Path(folder), 5, 3, seed, outside=outside,
-                       work={"warm_ms": 500.0, "all": 1}) as rig:
+        async with Rig(
+            pathlib.Path(folder), 5, 3, seed, outside=outside, work={"warm_ms": 500.0, "all": 1}
+        ) as rig:
             leader = await rig.leader()
             follower = next(name for name in rig.voters if name != leader)
 
@@ -355,11 +397,18 @@
 
 
 def faults(rounds: int = 5) -> None:
-    for kind in ("no fault, work-ready", "leader killed, then work-ready", "leader stalled, then work-ready",
-                 "leader cut off, then work-ready", "a follower killed: the hold"):
+    for kind in (
+        "no fault, work-ready",
+        "leader killed, then work-ready",
+        "leader stalled, then work-ready",
+        "leader cut off, then work-ready",
+        "a follower killed: the hold",
+    ):
         took = sorted(asyncio.run(fault(kind, seed)) for seed in range(rounds))
-        print(f"{kind}: {took[0]:.1f}, {statistics.median(took):.1f}, {took[-1]:.1f} s "
-              f"(shortest, median, longest of {rounds})")
+        print(
+            f"{kind}: {took[0]:.1f}, {statistics.median(took):.1f}, {took[-1]:.1f} s "
+            f"(shortest, median, longest of {rounds})"
+        )
 
 
 def plans() -> None:
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -37,9 +37,19 @@
 
 def call_record(number: int) -> tuple[str, bytes]:
     """A standing call as the platform's front keeps it."""
-    return f"call/{number:016x}", records.encode(records.Standing(
-        f"10.0.0.{number % 9}:5060", 1.8e12 + number, "find-race", "studio-7", "10.1.2.3", 0, number, True,
-        b"table 7 of server 12"))
+    return f"call/{number:016x}", records.encode(
+        records.Standing(
+            f"10.0.0.{number % 9}:5060",
+            1.8e12 + number,
+            "find-race",
+            "studio-7",
+            "10.1.2.3",
+            0,
+            number,
+            True,
+            b"table 7 of server 12",
+        )
+    )
 
 
 def percentile(values: list[float], share: float) -> float:
@@ -80,8 +90,10 @@
         count, end = 0, time.perf_counter() + seconds
         while time.perf_counter() < end:
             database.execute("BEGIN")
-            database.executemany("INSERT OR REPLACE INTO kept VALUES (?, ?)",
-                                 [call_record((count + at) % 5000) for at in range(batch)])
+            database.executemany(
+                "INSERT OR REPLACE INTO kept VALUES (?, ?)",
+                [call_record((count + at) % 5000) for at in range(batch)],
+            )
             database.execute("COMMIT")
             count += batch
         database.close()
@@ -90,10 +102,16 @@
 
 def writes() -> None:
     for batch in (1, 64):
-        ours, theirs = median_of([lambda batch=batch: engine_writes(batch),  # type: ignore[misc]
-                                  lambda batch=batch: sqlite_writes(batch)])  # type: ignore[misc]
-        print(f"writes, {batch} a commit: {ours:,.0f} records a second, SQLite FULL (WAL) {theirs:,.0f}: "
-              f"{ours / theirs:.2f} times")
+        ours, theirs = median_of(
+            [
+                lambda batch=batch: engine_writes(batch),  # type: ignore[misc]
+                lambda batch=batch: sqlite_writes(batch),  # type: ignore[misc]
+            ]
+        )
+        print(
+            f"writes, {batch} a commit: {ours:,.0f} records a second, SQLite FULL (WAL) {theirs:,.0f}: "
+            f"{ours / theirs:.2f} times"
+        )
     grouped, single = median_of([lambda: engine_writes(64), lambda: sqlite_writes(1)])
     print(f"writes, group commit of 64 against one transaction a record: {grouped / single:.1f} times")
 
@@ -102,8 +120,7 @@
 
 
 def recovery() -> None:
-    for history, live in ((10 ** 4, 1000), (10 ** 5, 1000), (10 ** 6, 1000), (10 ** 5, 10 ** 5),
-                          (10 ** 6, 10 ** 6)):
+    for history, live in ((10**4, 1000), (10**5, 1000), (10**6, 1000), (10**5, 10**5), (10**6, 10**6)):
         with tempfile.TemporaryDirectory(dir=ROOT) as folder:
             path = pathlib.Path(folder)
             engine = Engine.open(DiskFolder(path))
@@ -127,8 +144,10 @@
                 assert len(again.recovered) == live
                 again.folder.unlock()
                 again.index.close()
-            print(f"recovery, {history:,} records, {live:,} live, log {size / 1e6:.1f} MB: "
-                  f"{times[0]:,.1f} ms, by the log alone {times[1]:,.1f} ms")
+            print(
+                f"recovery, {history:,} records, {live:,} live, log {size / 1e6:.1f} MB: "
+                f"{times[0]:,.1f} ms, by the log alone {times[1]:,.1f} ms"
+            )
 
 
 # The longest turn of the reactor's thread while the store's thread works
@@ -150,10 +169,13 @@
                 """Half of the changes are of calls that are there, half are new ones for old ones."""
                 chance, oldest = random.Random(1), 0
                 while not stop.is_set():
-                    engine.append([
-                        *(call_record(oldest + 16 + chance.randrange(live - 16)) for _ in range(16)),
-                        *((call_record(oldest + at)[0], None) for at in range(16)),
-                        *(call_record(oldest + live + at) for at in range(16))])
+                    engine.append(
+                        [
+                            *(call_record(oldest + 16 + chance.randrange(live - 16)) for _ in range(16)),
+                            *((call_record(oldest + at)[0], None) for at in range(16)),
+                            *(call_record(oldest + live + at) for at in range(16)),
+                        ]
+                    )
                     oldest += 16
                     engine.sync()
                     for _ in range(3):
@@ -166,9 +188,11 @@
             busy = longest_turns(6.0)
             stop.set()
             thread.join()
-            print(f"stall, {live:,} live: longest turn {max(busy):.1f} ms while "
-                  f"{engine.cleaned - before} segments were cleaned and {engine.checkpoints} checkpoints "
-                  f"written, p99.9 {percentile(busy, 0.999):.2f} ms; at rest {max(rest):.1f} ms")
+            print(
+                f"stall, {live:,} live: longest turn {max(busy):.1f} ms while "
+                f"{engine.cleaned - before} segments were cleaned and {engine.checkpoints} checkpoints "
+                f"written, p99.9 {percentile(busy, 0.999):.2f} ms; at rest {max(rest):.1f} ms"
+            )
 
 
 def longest_turns(seconds: float) -> list[float]:
@@ -193,12 +217,14 @@
         return int(free.getsockname()[1])
 
 
-async def load(checkout: pathlib.Path, store: dict[str, object] | None, calls_a_second: float,
-               seconds: float) -> tuple[list[float], float, float]:
+async def load(
+    checkout: pathlib.Path, store: dict[str, object] | None, calls_a_second: float, seconds: float
+) -> tuple[list[float], float, float]:
     """Waits for answers in ms, CPU ms a call, and the program's memory in MB."""
     books = Books()
-    lobbies = [Lobby(f"h{number}", books, random.Random(number), longest_ms=0.1, busy=0.0)
-               for number in (0, 1)]
+    lobbies = [
+        Lobby(f"h{number}", books, random.Random(number), longest_ms=0.1, busy=0.0) for number in (0, 1)
+    ]
     ports = [await lobby.start() for lobby in lobbies]
     port = free_port()
     with tempfile.TemporaryDirectory(dir=ROOT) as folder:
@@ -206,10 +232,19 @@
         more = {} if store is None else {"store": {"path": "s", **store}}
         path.write_text(json.dumps(configuration(port, ports, **more)), encoding="utf-8")
         program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "frostport", "serve", "--config", str(path), cwd=checkout,
-            stderr=subprocess.DEVNULL)
-        callers = [Caller(number, books, random.Random(number), lambda: port, gap_ms=4000.0 / calls_a_second)
-                   for number in range(4)]
+            sys.executable,
+            "-m",
+            "frostport",
+            "serve",
+            "--config",
+            str(path),
+            cwd=checkout,
+            stderr=subprocess.DEVNULL,
+        )
+        callers = [
+            Caller(number, books, random.Random(number), lambda: port, gap_ms=4000.0 / calls_a_second)
+            for number in range(4)
+        ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         while books.answers < 50:
             await asyncio.sleep(0.05)
@@ -251,8 +286,10 @@
             costs[name].append((cpu, memory))
     for name, values in waits.items():
         cpu, memory = (statistics.median(column) for column in zip(*costs[name], strict=True))
-        print(f"latency, 200 calls a second, {name}: p50 {percentile(values, 0.5):.2f} ms, "
-              f"p99 {percentile(values, 0.99):.2f} ms; {cpu:.2f} ms CPU a call, {memory:.1f} MB")
+        print(
+            f"latency, 200 calls a second, {name}: p50 {percentile(values, 0.5):.2f} ms, "
+            f"p99 {percentile(values, 0.99):.2f} ms; {cpu:.2f} ms CPU a call, {memory:.1f} MB"
+        )
 
 
 def beside(against: pathlib.Path) -> None:
@@ -269,18 +306,25 @@
                 costs[name].append((cpu, memory))
                 if store is None:
                     begin = time.perf_counter()
-                    subprocess.run([sys.executable, "-c", "import frostport.agent, frostport.cli"],
-                                   cwd=checkout, check=True)
+                    subprocess.run(
+                        [sys.executable, "-c", "import frostport.agent, frostport.cli"],
+                        cwd=checkout,
+                        check=True,
+                    )
                     starts[name].append((time.perf_counter() - begin) * 1000.0)
         print("with a store, always:" if store else "without a store:")
         for name in sides:
             cpu, memory = (statistics.median(column) for column in zip(*costs[name], strict=True))
             spread = ", ".join(f"{cost:.3f}" for cost, _ in costs[name])
-            print(f"  {name}: p50 {percentile(waits[name], 0.5):.2f}, p99 "
-                  f"{percentile(waits[name], 0.99):.2f} ms; {cpu:.3f} ms CPU a call "
-                  f"({spread}), {memory:.1f} MB")
-    print(f"imports: {statistics.median(starts['ours']):.0f} ms, theirs "
-          f"{statistics.median(starts['theirs']):.0f}")
+            print(
+                f"  {name}: p50 {percentile(waits[name], 0.5):.2f}, p99 "
+                f"{percentile(waits[name], 0.99):.2f} ms; {cpu:.3f} ms CPU a call "
+                f"({spread}), {memory:.1f} MB"
+            )
+    print(
+        f"imports: {statistics.median(starts['ours']):.0f} ms, theirs "
+        f"{statistics.median(starts['theirs']):.0f}"
+    )
 
 
 def size() -> None:
@@ -295,14 +339,23 @@
 
 
 PARTS: dict[str, Callable[[], None]] = {
-    "writes": writes, "recovery": recovery, "stall": stall, "latency": latency, "size": size}
+    "writes": writes,
+    "recovery": recovery,
+    "stall": stall,
+    "latency": latency,
+    "size": size,
+}
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("parts", nargs="*", choices=[*PARTS, []], metavar="PART", help=", ".join(PARTS))
-    parser.add_argument("--against", type=pathlib.Path, metavar="CHECKOUT",
-                        help="measure the program beside this checkout's, without a store and with one")
+    parser.add_argument(
+        "--against",
+        type=pathlib.Path,
+        metavar="CHECKOUT",
+        help="measure the program beside this checkout's, without a store and with one",
+    )
     given = parser.parse_args()
     if given.against is not None:
         beside(given.against.resolve())
--- a/frostport/adapter.py
+++ b/frostport/adapter.py
@@ -66,7 +66,7 @@
         return self._rest[self._next - 1]
 
     def rest(self) -> list[str]:
-        values, self._next = self._rest[self._next:], len(self._rest)
+        values, self._next = self._rest[self._next :], len(self._rest)
         return values
 
     def finish(self) -> None:
@@ -145,21 +145,39 @@
     fields.number("through", -1.0)
     marks = fields.integer("marks", 0)
     return api.CallArrived(
-        call, call_class, tenant, budget, number, called, redial=bool(marks & MARK_REDIAL),
-        in_transit=bool(marks & MARK_TRANSIT), cut_before=bool(marks & MARK_CUT))
+        call,
+        call_class,
+        tenant,
+        budget,
+        number,
+        called,
+        redial=bool(marks & MARK_REDIAL),
+        in_transit=bool(marks & MARK_TRANSIT),
+        cut_before=bool(marks & MARK_CUT),
+    )
 
 
 def read_stands(fields: Fields) -> api.CallStands:
-    return api.CallStands(fields.text("id"), fields.integer("shot"), fields.text("server"),
-                          fields.number("time-taken-ms"))
+    return api.CallStands(
+        fields.text("id"), fields.integer("shot"), fields.text("server"), fields.number("time-taken-ms")
+    )
 
 
 def read_ended(fields: Fields) -> api.AttemptEnded:
     call, attempt, server = fields.text("id"), fields.integer("shot"), fields.text("server")
     outcome, elapsed = fields.word("outcome", OUTCOMES), fields.number("time-taken-ms")
     closed, note = fields.flag("no-more"), fields.integer("note", 0)
-    return api.AttemptEnded(call, attempt, server, outcome, elapsed, closed, note % NOTE_BITS,
-                            float(note // NOTE_BITS), fields.row("pressure"))
+    return api.AttemptEnded(
+        call,
+        attempt,
+        server,
+        outcome,
+        elapsed,
+        closed,
+        note % NOTE_BITS,
+        float(note // NOTE_BITS),
+        fields.row("pressure"),
+    )
 
 
 def read_report(fields: Fields) -> api.ServerReport:
--- a/frostport/admission/gate.py
+++ b/frostport/admission/gate.py
@@ -244,14 +244,17 @@
 
     def _behind(self, address: str) -> int:
         """How many clients stand behind an address."""
-        return next((shared.clients for shared in self.limits.shared
-                     if within(address, (shared.network,))), 1)
+        return next(
+            (shared.clients for shared in self.limits.shared if within(address, (shared.network,))), 1
+        )
 
     def _against(self, address: str, prefix: str, known: bool, now: float) -> Reason | None:
         """Why this address may not connect now, whatever room there is."""
         limits, behind = self.limits, self._behind(address)
-        if limits.ladder and ((self.ladder.step >= Step.SCARCE and not known) or (
-                self.ladder.step >= Step.EXHAUSTED and not within(address, limits.known))):
+        if limits.ladder and (
+            (self.ladder.step >= Step.SCARCE and not known)
+            or (self.ladder.step >= Step.EXHAUSTED and not within(address, limits.known))
+        ):
             return Reason.LADDER
         if not known and self.offenders.turned_away(address, now):
             return Reason.OFFENDER
@@ -282,8 +285,11 @@
         most = limits.connections if known else limits.connections - limits.reserve
         seats, strangers = seats - len(planned), strangers - len(planned)
         victims = (seat for seat in self._victims(known, now) if seat not in planned)
-        while seats >= limits.connections or (not known and strangers >= most) \
-                or not self.descriptors.room(Owner.CLIENTS, len(planned)):
+        while (
+            seats >= limits.connections
+            or (not known and strangers >= most)
+            or not self.descriptors.room(Owner.CLIENTS, len(planned))
+        ):
             victim = next(victims, None)
             if victim is None:
                 if not self.descriptors.room(Owner.CLIENTS, len(planned)):
@@ -311,8 +317,9 @@
         if self._most > FAIR:
             address = next(iter(self._ranks[self._most]))
             for said in (False, True):
-                yield from fresh(seat for seat in self._of[address].values()
-                                 if not seat.known and seat.identified is said)
+                yield from fresh(
+                    seat for seat in self._of[address].values() if not seat.known and seat.identified is said
+                )
         yield from fresh(seat for seat in self._silent.values() if not seat.known)
         yield from fresh(seat for seat in self._idle.values() if not seat.known)
         if for_known or not self.limits.reserve:
@@ -359,8 +366,9 @@
                 del self._ranks[before]
         if after:
             self._ranks.setdefault(after, {})[address] = None
-        self._most = max(after, self._most) if after > before else \
-            self._most if self._most in self._ranks else after
+        self._most = (
+            max(after, self._most) if after > before else self._most if self._most in self._ranks else after
+        )
 
     def _leave_team(self, seat: Seat) -> None:
         if seat.team:
@@ -372,9 +380,15 @@
     def snapshot(self) -> dict[str, object]:
         """Plain data for console and records."""
         return {
-            "step": self.ladder.step.name.lower(), "moves": self.ladder.moves, "seats": len(self.seats),
-            "strangers": self.strangers, "unidentified": self.unidentified, "admitted": self.admitted,
+            "step": self.ladder.step.name.lower(),
+            "moves": self.ladder.moves,
+            "seats": len(self.seats),
+            "strangers": self.strangers,
+            "unidentified": self.unidentified,
+            "admitted": self.admitted,
             "refused": {reason.value: count for reason, count in self.refused.items()},
             "given_up": {reason.value: count for reason, count in self.given_up.items()},
             "descriptors": {owner.value: count for owner, count in self.descriptors.open.items()},
-            "buffered_bytes": self.buffers.total, "talkers": self.by_address.most_common(TALKERS)}
+            "buffered_bytes": self.buffers.total,
+            "talkers": self.by_address.most_common(TALKERS),
+        }
--- a/frostport/admission/ladder.py
+++ b/frostport/admission/ladder.py
@@ -36,8 +36,10 @@
         """The step for these loads; `changed` hears of a move."""
         share = max(shares, default=0.0)
         reached = max((step for step, mark in MARKS.items() if share >= mark), default=Step.OPEN)
-        held = max((step for step, mark in MARKS.items() if share >= mark - GAP and step <= self.step),
-                   default=Step.OPEN)
+        held = max(
+            (step for step, mark in MARKS.items() if share >= mark - GAP and step <= self.step),
+            default=Step.OPEN,
+        )
         after = max(reached, held)
         if after is not self.step:
             before, self.step = self.step, after
--- a/frostport/agent.py
+++ b/frostport/agent.py
@@ -81,21 +81,29 @@
 class Agent:
     """One call agent: the core, one front and one route."""
 
-    def __init__(self, config: Config, reactor: Any, clock: Clock | None = None,
-                 durability: Durability | None = None) -> None:
+    def __init__(
+        self, config: Config, reactor: Any, clock: Clock | None = None, durability: Durability | None = None
+    ) -> None:
         self.config, self.reactor = config, reactor
         self.path: pathlib.Path | None = None  # the file that the configuration came from
         self.clock, self.deadlines = clock or Clock(), Deadlines()
         self.lifecycle = Lifecycle()
         given = contracts.applied(config.settings, config.contracts)
         self.rules = Rules(given, config.drain_grace_ms)
-        self.broker = Broker(Controller(given, config.seed), self.rules, self.clock, self.deadlines,
-                             PROBE_TIMEOUT_MS, contracts.Budgets(config.contracts))
+        self.broker = Broker(
+            Controller(given, config.seed),
+            self.rules,
+            self.clock,
+            self.deadlines,
+            PROBE_TIMEOUT_MS,
+            contracts.Budgets(config.contracts),
+        )
         self.figures = Figures(kind.name for kind in given.classes)
         self.figures.loaded(True)
         self.broker.tally = self.figures
-        self.gate = Gate(config.admission, Descriptors(config.sockets, config.sockets
-                                                       - config.admission.connections))
+        self.gate = Gate(
+            config.admission, Descriptors(config.sockets, config.sockets - config.admission.connections)
+        )
         self.pump = Pump(reactor, self.clock, self.deadlines)
         self.durability = durability
         if durability is not None:
@@ -226,7 +234,8 @@
         if fixed:
             log.warning("reload: not changed before the next start: %s", ", ".join(fixed))
         self.config = dataclasses.replace(
-            old, **{name: getattr(new, name) for name in LIVE if name not in fixed})
+            old, **{name: getattr(new, name) for name in LIVE if name not in fixed}
+        )
         if "contracts" not in fixed:
             self.broker.budgets.replace(new.contracts)
         self.gate.descriptors.limit = self.config.sockets
@@ -258,8 +267,9 @@
             self.lifecycle.enter(Phase.DRAINED)
         elif phase is Phase.HANDING_OVER and empty:
             self.lifecycle.enter(Phase.STOPPING)
-        elif phase in (Phase.DRAINING, Phase.HANDING_OVER) \
-                or (phase is Phase.TURNING_AWAY and not self.empty()):
+        elif phase in (Phase.DRAINING, Phase.HANDING_OVER) or (
+            phase is Phase.TURNING_AWAY and not self.empty()
+        ):
             self.deadlines.set(self.clock.now() + EMPTIED_MS, self._emptied)
 
     def _stop_listening(self) -> None:
@@ -350,8 +360,13 @@
         return config
     log.warning("limits.sockets: %d, but the process may have only %d: these count", config.sockets, soft)
     connections = configuration.most_clients(soft)
-    return dataclasses.replace(config, sockets=soft, admission=dataclasses.replace(
-        config.admission, connections=connections, reserve=min(config.admission.reserve, connections - 1)))
+    return dataclasses.replace(
+        config,
+        sockets=soft,
+        admission=dataclasses.replace(
+            config.admission, connections=connections, reserve=min(config.admission.reserve, connections - 1)
+        ),
+    )
 
 
 def report_faults() -> None:
@@ -360,8 +375,9 @@
     observer("frostport.twisted").start()
 
 
-def serve(config: Config, path: pathlib.Path | None = None, reactor: Any = None,
-          inherited: int | None = None) -> int:
+def serve(
+    config: Config, path: pathlib.Path | None = None, reactor: Any = None, inherited: int | None = None
+) -> int:
     """Runs a call agent until it is told to end. Raises StoreError where its store can't be opened."""
     if reactor is None:
         from twisted.internet import reactor
--- a/frostport/agreement/feed.py
+++ b/frostport/agreement/feed.py
@@ -129,8 +129,9 @@
         else:
             entries = self.log.after(prev, self.commit, self.settings.batch_bytes)
             child.next = prev + len(entries) + 1
-            self.out.send.append((name, Feed(
-                self.lead_term(), self.leader, prev, term, entries, self.commit)))
+            self.out.send.append(
+                (name, Feed(self.lead_term(), self.leader, prev, term, entries, self.commit))
+            )
 
     def fed_piece(self, sender: str, reply: PieceReply, now: float) -> None:
         child = self.children.get(sender)
@@ -140,4 +141,3 @@
             if done:
                 child.next = reply.index + 1
             self._feed(sender, child)
-
--- a/frostport/agreement/leader.py
+++ b/frostport/agreement/leader.py
@@ -90,8 +90,11 @@
         self.voters, self.voters_index = self.log.voters()
         if self.role is Role.LEADER:
             known = {**self.joining, **self.peers}
-            self.peers = {name: known.get(name) or Progress(self.log.last_index + 1)
-                          for name in self.voters if name != self.name}
+            self.peers = {
+                name: known.get(name) or Progress(self.log.last_index + 1)
+                for name in self.voters
+                if name != self.name
+            }
             self.joining = {name: at for name, at in self.joining.items() if name not in self.voters}
 
     def _broadcast(self, now: float) -> None:
@@ -150,8 +153,10 @@
 
     def _commit(self, now: float) -> None:
         """Counts disks, its own among them; only an entry of its own term (3.6.2)."""
-        matches = sorted((self.log.last_index if name == self.name else self.peers[name].match
-                          for name in self.voters), reverse=True)
+        matches = sorted(
+            (self.log.last_index if name == self.name else self.peers[name].match for name in self.voters),
+            reverse=True,
+        )
         index = matches[len(matches) // 2] if matches else 0
         if index > self.commit and self.log.term_at(index) == self.term:
             self._committed(index, now)
@@ -220,7 +225,7 @@
             return
         if forward.kind == VOTERS:
             self._change_voters(forward, now)
-        elif all(entry.id != forward.id for entry in self.log.entries[self.commit - self.log.base.index:]):
+        elif all(entry.id != forward.id for entry in self.log.entries[self.commit - self.log.base.index :]):
             self._append(forward.id, forward.kind, forward.version, forward.data)
             self._broadcast(now)
 
@@ -239,8 +244,10 @@
 
     def _reads_ready(self) -> None:
         if self.role is Role.LEADER and self.reads:
-            rounds = sorted((self.round if name == self.name else self.peers[name].round
-                             for name in self.voters), reverse=True)
+            rounds = sorted(
+                (self.round if name == self.name else self.peers[name].round for name in self.voters),
+                reverse=True,
+            )
             heard = rounds[len(rounds) // 2]
             for asked in [asked for asked in self.reads if asked.round <= heard]:
                 self.reads.remove(asked)
--- a/frostport/agreement/log.py
+++ b/frostport/agreement/log.py
@@ -66,7 +66,7 @@
     def after(self, index: int, upto: int, most_bytes: int) -> tuple[Entry, ...]:
         """Entries after an index, at least one if there is any, up to about so many bytes."""
         found: list[Entry] = []
-        for entry in self.entries[index - self.base.index:upto - self.base.index]:
+        for entry in self.entries[index - self.base.index : upto - self.base.index]:
             if found and most_bytes < len(entry.data) + 64:
                 break
             most_bytes -= len(entry.data) + 64
@@ -88,8 +88,8 @@
 
     def cut(self, index: int) -> list[Change]:
         """Removes the entries from an index on."""
-        gone = self.entries[index - self.base.index - 1:]
-        del self.entries[index - self.base.index - 1:]
+        gone = self.entries[index - self.base.index - 1 :]
+        del self.entries[index - self.base.index - 1 :]
         return [(key(entry.index), None) for entry in gone]
 
     def compact(self, index: int, snapshot: bytes) -> list[Change]:
@@ -97,7 +97,7 @@
         term = self.term_at(index)
         assert term is not None
         voters, _ = self.voters(index)
-        gone, self.entries = self.entries[:index - self.base.index], self.entries[index - self.base.index:]
+        gone, self.entries = self.entries[: index - self.base.index], self.entries[index - self.base.index :]
         return self._rebase(Base(index, term, voters, len(snapshot), check(snapshot)), snapshot, gone)
 
     def install(self, base: Base, snapshot: bytes) -> list[Change]:
@@ -112,8 +112,10 @@
         self.base, self.snapshot = base, snapshot
         changes: list[Change] = [(key(entry.index), None) for entry in gone]
         parts = -(-base.size // CHUNK)
-        changes += [(f"{SNAPSHOT}{number:08x}", snapshot[number * CHUNK:(number + 1) * CHUNK])
-                    for number in range(parts)]
+        changes += [
+            (f"{SNAPSHOT}{number:08x}", snapshot[number * CHUNK : (number + 1) * CHUNK])
+            for number in range(parts)
+        ]
         changes += [(f"{SNAPSHOT}{number:08x}", None) for number in range(parts, before)]
         changes.append((BASE, _encoder.encode(base)))
         return changes
--- a/frostport/agreement/machine.py
+++ b/frostport/agreement/machine.py
@@ -45,13 +45,20 @@
         self.seen: OrderedDict[str, deque[int]] = OrderedDict()
         self.digest, self.count = "", 0  # over the order of all that was applied
         self.notes: deque[tuple[int, str]] = deque(maxlen=NOTES_MOST)
-        self.kinds: dict[str, tuple[int, Any, Callable[[Entry, Any], None]]] = {
-            "note": (1, Note, self._note)}
+        self.kinds: dict[str, tuple[int, Any, Callable[[Entry, Any], None]]] = {"note": (1, Note, self._note)}
         self.parts: dict[str, tuple[Callable[[], bytes], Callable[[bytes], None]]] = {
-            "note": (self._save_notes, self._restore_notes)}
-
-    def register(self, kind: str, version: int, form: Any, apply: Callable[[Entry, Any], None],
-                 save: Callable[[], bytes], restore: Callable[[bytes], None]) -> None:
+            "note": (self._save_notes, self._restore_notes)
+        }
+
+    def register(
+        self,
+        kind: str,
+        version: int,
+        form: Any,
+        apply: Callable[[Entry, Any], None],
+        save: Callable[[], bytes],
+        restore: Callable[[bytes], None],
+    ) -> None:
         """A kind of command with a state of its own; before anything is applied or restored."""
         self.kinds[kind] = (version, form, apply)
         self.parts[kind] = (save, restore)
@@ -93,10 +100,14 @@
         return True
 
     def snapshot(self) -> bytes:
-        return msgspec.msgpack.encode(Saved([(origin, list(seen)) for origin, seen in self.seen.items()],
-                                            self.digest, self.count,
-                                            {kind: (self.kinds[kind][0], save())
-                                             for kind, (save, _) in self.parts.items()}))
+        return msgspec.msgpack.encode(
+            Saved(
+                [(origin, list(seen)) for origin, seen in self.seen.items()],
+                self.digest,
+                self.count,
+                {kind: (self.kinds[kind][0], save()) for kind, (save, _) in self.parts.items()},
+            )
+        )
 
     def restore(self, data: bytes) -> None:
         """Raises msgspec.MsgspecError where it is no snapshot; NotKnownError."""
--- a/frostport/agreement/messages.py
+++ b/frostport/agreement/messages.py
@@ -140,8 +140,21 @@
     voters: Voters
 
 
-Message = (VoteRequest | VoteReply | Append | AppendReply | Piece | PieceReply | Ask | Feed | Forward
-           | ReadRequest | ReadReply | Hello | Found)
+Message = (
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | Piece
+    | PieceReply
+    | Ask
+    | Feed
+    | Forward
+    | ReadRequest
+    | ReadReply
+    | Hello
+    | Found
+)
 
 
 class VoterChange(msgspec.Struct, array_like=True, frozen=True):
--- a/frostport/agreement/raft.py
+++ b/frostport/agreement/raft.py
@@ -50,8 +50,16 @@
 class Raft(Leading):
     """Raises BadLogError where the records found are no log."""
 
-    def __init__(self, name: str, disk: int, named: Iterable[str], settings: Settings, chance: random.Random,
-                 found: Mapping[str, bytes], now_ms: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        disk: int,
+        named: Iterable[str],
+        settings: Settings,
+        chance: random.Random,
+        found: Mapping[str, bytes],
+        now_ms: float,
+    ) -> None:
         """`disk`: drawn when the store was made; `named`: the voters that the settings name, for the
         founding; `found`: the records under `raft/`."""
         self.name, self.disk, self.named = name, disk, tuple(sorted(named))
@@ -126,9 +134,18 @@
 
     def snapshot(self) -> dict[str, object]:
         """Plain data for the door and for records."""
-        return {"name": self.name, "role": self.role.value, "term": self.term, "leader": self.leader,
-                "voter": self.voter(), "voters": sorted(self.voters), "first": self.log.base.index + 1,
-                "last": self.log.last_index, "commit": self.commit, "applied": self.applied}
+        return {
+            "name": self.name,
+            "role": self.role.value,
+            "term": self.term,
+            "leader": self.leader,
+            "voter": self.voter(),
+            "voters": sorted(self.voters),
+            "first": self.log.base.index + 1,
+            "last": self.log.last_index,
+            "commit": self.commit,
+            "applied": self.applied,
+        }
 
     # Time
 
@@ -138,8 +155,11 @@
     def _tick(self, now: float) -> None:
         if self.role is Role.LEADER:
             # First: a leader that has stood still says nothing more as one.
-            heard = sum(self.peers[name].heard_at > now - self.settings.election_ms
-                        for name in self.voters if name in self.peers)
+            heard = sum(
+                self.peers[name].heard_at > now - self.settings.election_ms
+                for name in self.voters
+                if name in self.peers
+            )
             if heard + self.voter() <= len(self.voters) // 2:
                 self._follow(self.term, "", now, "it hears no majority")
             elif self.heartbeat_at <= now:
@@ -163,8 +183,11 @@
         for name in self.named:
             if name != self.name:
                 self.out.send.append((name, Hello(self.disk)))
-        fresh = {name: disk for name, (disk, at) in self.hellos.items()
-                 if at > now - 3.0 * self.settings.heartbeat_ms}
+        fresh = {
+            name: disk
+            for name, (disk, at) in self.hellos.items()
+            if at > now - 3.0 * self.settings.heartbeat_ms
+        }
         if self.name == self.named[0] and set(self.named) == {self.name, *fresh}:
             self._found({**fresh, self.name: self.disk}, now)
             for name in fresh:
@@ -222,8 +245,9 @@
     def _lead(self, now: float) -> None:
         self.role, self.leader, self.leader_heard = Role.LEADER, self.name, now
         self.round, self.reads, self.joining, self.join_ids = 0, [], {}, {}
-        self.peers = {name: Progress(self.log.last_index + 1, heard_at=now)
-                      for name in self.voters if name != self.name}
+        self.peers = {
+            name: Progress(self.log.last_index + 1, heard_at=now) for name in self.voters if name != self.name
+        }
         self._note("leader")
         if self.voters_index:
             self._append("", "", 1, b"")
@@ -264,9 +288,14 @@
     def _vote_reply(self, sender: str, reply: VoteReply, now: float) -> None:
         if reply.term > self.term:
             self._follow(reply.term, "", now)
-        elif reply.granted and self.voters.get(sender) == reply.disk and (
+        elif (
+            reply.granted
+            and self.voters.get(sender) == reply.disk
+            and (
                 (reply.pre and self.role is Role.ASKING)
-                or (not reply.pre and self.role is Role.CANDIDATE and reply.term == self.term)):
+                or (not reply.pre and self.role is Role.CANDIDATE and reply.term == self.term)
+            )
+        ):
             self.granted.add(sender)
             self._counted(now)
 
@@ -358,7 +387,8 @@
 
     def _take_piece(self, sender: str, message: Piece, now: float) -> None:
         if message.base.index > self.commit and not self.receiving.wants(
-                message.base, now, self.settings.silent_ms):
+            message.base, now, self.settings.silent_ms
+        ):
             return
         whole = self.receiving.take(message)
         if whole is not None:
--- a/frostport/agreement/snapshots.py
+++ b/frostport/agreement/snapshots.py
@@ -10,7 +10,7 @@
 
 def piece(log: Log, term: int, offset: int, size: int) -> Piece:
     offset = min(offset, log.base.size)
-    return Piece(term, log.base, offset, log.snapshot[offset:offset + size])
+    return Piece(term, log.base, offset, log.snapshot[offset : offset + size])
 
 
 class Receiving:
--- a/frostport/cli/__init__.py
+++ b/frostport/cli/__init__.py
@@ -14,11 +14,13 @@
 from frostport import config
 from frostport.version import VERSION
 
-STORE = {"verify": "read all of a store and say whether it is sound, also beside a running agent",
-         "dump": "print what is kept, a JSON line a record",
-         "backup": "copy a store to an empty folder, also beside a running agent",
-         "compact": "clean a store that no agent uses",
-         "repair": "make a sound store of what can be read, and say exactly what is dropped"}
+STORE = {
+    "verify": "read all of a store and say whether it is sound, also beside a running agent",
+    "dump": "print what is kept, a JSON line a record",
+    "backup": "copy a store to an empty folder, also beside a running agent",
+    "compact": "clean a store that no agent uses",
+    "repair": "make a sound store of what can be read, and say exactly what is dropped",
+}
 
 
 def parser() -> argparse.ArgumentParser:
@@ -27,12 +29,16 @@
     serve = commands.add_parser("serve", help="run the call agent (the default)")
     check = commands.add_parser("check-config", help="read a configuration and say what is wrong with it")
     for command in (serve, check):
-        command.add_argument("--config", metavar="FILE",
-                             help=f"the configuration; else the file that {config.CONFIG_VARIABLE} names")
+        command.add_argument(
+            "--config",
+            metavar="FILE",
+            help=f"the configuration; else the file that {config.CONFIG_VARIABLE} names",
+        )
     contracts = commands.add_parser("contracts", help="read a service's OpenAPI or AsyncAPI description")
     contracts.add_argument("file", metavar="FILE", type=pathlib.Path)
     stores = commands.add_parser("store", help="look after an embedded store").add_subparsers(
-        dest="what", metavar="WHAT", required=True)
+        dest="what", metavar="WHAT", required=True
+    )
     for what, does in STORE.items():
         command = stores.add_parser(what, help=does)
         command.add_argument("folder", metavar="FOLDER", type=pathlib.Path)
@@ -42,11 +48,16 @@
     fleet.add_argument("what", choices=("members", "agreed", "log"))
     fleet.add_argument("--door", metavar="HOST:PORT", required=True, help="the agent's `operator` address")
     work = commands.add_parser("work", help="work on machines: ask a running agent's door")
-    work.add_argument("what", choices=("request", "status", "ready", "hold", "go-on", "cancel", "force",
-                                       "limits"))
-    work.add_argument("words", nargs="*", metavar="WORD",
-                      help="a machine's name, or names=A,B zone=Z takes=30m within=8h urgent=yes who=ME "
-                           "why=TEXT; limits: all=2 margin=0.3 ...")
+    work.add_argument(
+        "what", choices=("request", "status", "ready", "hold", "go-on", "cancel", "force", "limits")
+    )
+    work.add_argument(
+        "words",
+        nargs="*",
+        metavar="WORD",
+        help="a machine's name, or names=A,B zone=Z takes=30m within=8h urgent=yes who=ME "
+        "why=TEXT; limits: all=2 margin=0.3 ...",
+    )
     work.add_argument("--door", metavar="HOST:PORT", required=True, help="any agent's `operator` address")
     commands.add_parser("version", help="print the version")
     return made
@@ -68,9 +79,11 @@
     try:
         if given.command == "contracts":
             for contract in config.load_contracts(given.file):
-                print(f"{contract.service}: aim {contract.aim_ms:g} ms, "
-                      f"deadline {contract.deadline_ms:g} ms, {contract.attempts} attempts, "
-                      f"{contract.set_ups_per_second:g} set-ups a second for each team")
+                print(
+                    f"{contract.service}: aim {contract.aim_ms:g} ms, "
+                    f"deadline {contract.deadline_ms:g} ms, {contract.attempts} attempts, "
+                    f"{contract.set_ups_per_second:g} set-ups a second for each team"
+                )
             return 0
         path = config.find_path(getattr(given, "config", None), os.environ)
         if given.command != "check-config":
--- a/frostport/cli/store.py
+++ b/frostport/cli/store.py
@@ -39,14 +39,18 @@
 
 
 def told(found: tools.Verified) -> str:
-    return (f"sound: {found.records} records, {found.live_bytes} bytes live of {found.log_bytes} in "
-            f"{found.segments} segments, {found.acknowledged} of {found.sequence} acknowledged, "
-            f"{found.torn_bytes} torn")
+    return (
+        f"sound: {found.records} records, {found.live_bytes} bytes live of {found.log_bytes} in "
+        f"{found.segments} segments, {found.acknowledged} of {found.sequence} acknowledged, "
+        f"{found.torn_bytes} torn"
+    )
 
 
 def line(key: str, value: bytes) -> str:
     """One record as JSON: its key, its kind and its fields; bytes as hexadecimal digits."""
     record = records.decode(key, value)[2]
-    fields = {name: item.hex() if isinstance(item, bytes) else item
-              for name, item in msgspec.structs.asdict(record).items()}
+    fields = {
+        name: item.hex() if isinstance(item, bytes) else item
+        for name, item in msgspec.structs.asdict(record).items()
+    }
     return orjson.dumps({"key": key, "kind": type(record).__name__, **fields}).decode()
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -193,11 +193,14 @@
     if sockets < SOCKETS_LEAST:
         raise ConfigError(f"limits.sockets: under {SOCKETS_LEAST}")
     return Config(
-        name=field(record, "name", str, ""), listen=address(record, "listen") or "",
-        seed=seed, settings=given,
+        name=field(record, "name", str, ""),
+        listen=address(record, "listen") or "",
+        seed=seed,
+        settings=given,
         drain_grace_ms=grace,
         sockets=sockets,
-        bus=address(record, "bus", optional=True), known=batch,
+        bus=address(record, "bus", optional=True),
+        known=batch,
         offset=field(known, "offset", int, 0, "known."),
         peer_listen=address(record, "peer_listen", optional=True),
         peers=[check_address(f"peers.{index}", peer) for index, peer in enumerate(peers)],
@@ -207,7 +210,8 @@
         admission=read_admission(record, sockets),
         operator=address(record, "operator", optional=True),
         fleet=read_fleet(record, folder) if "fleet" in record else None,
-        startup=read_startup(record) if "startup" in record else None)
+        startup=read_startup(record) if "startup" in record else None,
+    )
 
 
 def read_startup(record: Mapping[str, Any]) -> StartupSettings:
@@ -230,8 +234,15 @@
     return max(sockets // 2, sockets - OWN_SOCKETS)
 
 
-COUNTS = ("by_address", "by_prefix", "unidentified", "by_team", "reserve", "buffered_bytes",
-          "buffered_connection_bytes")
+COUNTS = (
+    "by_address",
+    "by_prefix",
+    "unidentified",
+    "by_team",
+    "reserve",
+    "buffered_bytes",
+    "buffered_connection_bytes",
+)
 RATES = ("address_a_second", "address_burst", "prefix_a_second", "prefix_burst")
 TIMES = ("earned_ms", "back_off_ms", "back_off_most_ms")
 PREFIXES = {"ipv4_prefix": 32, "ipv6_prefix": 128}
@@ -265,10 +276,14 @@
         chosen["remembered"] = field(section, "remembered", int, 0, at)
         if not 16 <= chosen["remembered"] <= 10_000_000:
             raise ConfigError(f"{at}remembered: not 16 to 10000000")
-    chosen["known"] = tuple(network(f"{at}known.{index}", entry)
-                            for index, entry in enumerate(field(section, "known", list, [], at)))
-    chosen["shared"] = tuple(read_shared(f"{at}shared.{index}", entry)
-                             for index, entry in enumerate(field(section, "shared", list, [], at)))
+    chosen["known"] = tuple(
+        network(f"{at}known.{index}", entry)
+        for index, entry in enumerate(field(section, "known", list, [], at))
+    )
+    chosen["shared"] = tuple(
+        read_shared(f"{at}shared.{index}", entry)
+        for index, entry in enumerate(field(section, "shared", list, [], at))
+    )
     if chosen.get("reserve", 0) >= chosen["connections"]:
         raise ConfigError(f"{at}reserve: leaves nothing of {chosen['connections']} connections to strangers")
     return Limits(**chosen)
@@ -292,8 +307,12 @@
 
 STORE_CHOICES = {"durability": ("always", "interval", "none"), "on_failure": ("refuse", "serve")}
 # Least and most of each size: a record has to fit what a Diameter message holds, a segment some records.
-STORE_SIZES = {"segment_bytes": (1024 * 1024, 1024 ** 3), "record_bytes": (128 * 1024, 16 * 1024 * 1024),
-               "store_bytes": (16 * 1024 * 1024, 1024 ** 4), "checkpoint_records": (100, 100_000_000)}
+STORE_SIZES = {
+    "segment_bytes": (1024 * 1024, 1024**3),
+    "record_bytes": (128 * 1024, 16 * 1024 * 1024),
+    "store_bytes": (16 * 1024 * 1024, 1024**4),
+    "checkpoint_records": (100, 100_000_000),
+}
 
 
 def read_store(record: Mapping[str, Any], folder: pathlib.Path) -> StoreConfig:
@@ -336,17 +355,27 @@
         place = f"{at}servers.{index}"
         if not isinstance(entry, dict):
             raise ConfigError(f"{place}: not an object")
-        servers.append(DiameterServer(
-            name(f"{place}.host", entry.get("host")), check_address(f"{place}.dial", entry.get("dial")),
-            field(entry, "number", int, index, f"{place}."), field(entry, "zone", str, "", f"{place}.")))
+        servers.append(
+            DiameterServer(
+                name(f"{place}.host", entry.get("host")),
+                check_address(f"{place}.dial", entry.get("dial")),
+                field(entry, "number", int, index, f"{place}."),
+                field(entry, "zone", str, "", f"{place}."),
+            )
+        )
     if not clients or not servers:
         raise ConfigError(f"{at}{'servers' if clients else 'clients'}: none named")
     watchdog = milliseconds(section, "watchdog_ms", 30_000.0, at)
     if watchdog < WATCHDOG_LEAST_MS:
         raise ConfigError(f"{at}watchdog_ms: under {WATCHDOG_LEAST_MS:.0f}, the least that RFC 3539 allows")
     return DiameterConfig(
-        name(f"{at}host", section.get("host")), name(f"{at}realm", section.get("realm")), clients, servers,
-        watchdog, milliseconds(section, "sessions_lost_ms", 8_000.0, at))
+        name(f"{at}host", section.get("host")),
+        name(f"{at}realm", section.get("realm")),
+        clients,
+        servers,
+        watchdog,
+        milliseconds(section, "sessions_lost_ms", 8_000.0, at),
+    )
 
 
 def name(place: str, value: object) -> str:
--- a/frostport/config_fleet.py
+++ b/frostport/config_fleet.py
@@ -37,8 +37,20 @@
     work: Limits | None = None  # of work on machines
 
 
-FIELDS = ("name", "key", "gossip", "link", "path", "zone", "seeds", "voters", "record", "routes",
-          "compact_after", "work")
+FIELDS = (
+    "name",
+    "key",
+    "gossip",
+    "link",
+    "path",
+    "zone",
+    "seeds",
+    "voters",
+    "record",
+    "routes",
+    "compact_after",
+    "work",
+)
 
 
 def short(place: str, value: object, most: int) -> str:
@@ -61,12 +73,18 @@
         raise ConfigError(f"{at}key: not hexadecimal") from None
     if not KEY_LEAST <= len(key) <= KEY_MOST:
         raise ConfigError(f"{at}key: not {KEY_LEAST} to {KEY_MOST} bytes")
-    addresses = {entry: short(f"{at}{entry}", base.check_address(f"{at}{entry}", section.get(entry)),
-                              TEXT_MOST) for entry in ("gossip", "link")}
-    seeds = tuple(base.check_address(f"{at}seeds.{number}", seed)
-                  for number, seed in enumerate(base.field(section, "seeds", list, [], at)))
-    voters = tuple(short(f"{at}voters.{number}", voter, NAME_MOST)
-                   for number, voter in enumerate(base.field(section, "voters", list, [], at)))
+    addresses = {
+        entry: short(f"{at}{entry}", base.check_address(f"{at}{entry}", section.get(entry)), TEXT_MOST)
+        for entry in ("gossip", "link")
+    }
+    seeds = tuple(
+        base.check_address(f"{at}seeds.{number}", seed)
+        for number, seed in enumerate(base.field(section, "seeds", list, [], at))
+    )
+    voters = tuple(
+        short(f"{at}voters.{number}", voter, NAME_MOST)
+        for number, voter in enumerate(base.field(section, "voters", list, [], at))
+    )
     if len(voters) not in VOTERS or len(set(voters)) != len(voters):
         raise ConfigError(f"{at}voters: not 1, 3, 5 or 7 different names")
     routes = {}
@@ -80,10 +98,20 @@
     if compact_after < 100:
         raise ConfigError(f"{at}compact_after: under 100")
     return FleetConfig(
-        base.name(f"{at}name", section.get("name")), short("name", record.get("name"), NAME_MOST), key,
-        addresses["gossip"], addresses["link"], folder / base.name(f"{at}path", section.get("path")), zone,
-        seeds, voters, folder / base.name(f"{at}record", section["record"]) if "record" in section else None,
-        routes, compact_after, limits(section))
+        base.name(f"{at}name", section.get("name")),
+        short("name", record.get("name"), NAME_MOST),
+        key,
+        addresses["gossip"],
+        addresses["link"],
+        folder / base.name(f"{at}path", section.get("path")),
+        zone,
+        seeds,
+        voters,
+        folder / base.name(f"{at}record", section["record"]) if "record" in section else None,
+        routes,
+        compact_after,
+        limits(section),
+    )
 
 
 def limits(section: Mapping[str, Any]) -> Limits | None:
--- a/frostport/config_startup.py
+++ b/frostport/config_startup.py
@@ -10,9 +10,21 @@
 from frostport.config import ConfigError
 from frostport.startup.settings import Settings
 
-LEAST = {"agents": 1, "dials_a_second": 0.1, "lists_a_second": 0.1, "first_gap_ms": 10.0,
-         "most_gap_ms": 100.0, "redials": 1.0, "redial_ms": 10.0, "feeders": 1, "old_ms": 1200.0,
-         "patience_ms": 1000.0, "servers": 1, "wave": 0.0, "wave_ms": 0.0}
+LEAST = {
+    "agents": 1,
+    "dials_a_second": 0.1,
+    "lists_a_second": 0.1,
+    "first_gap_ms": 10.0,
+    "most_gap_ms": 100.0,
+    "redials": 1.0,
+    "redial_ms": 10.0,
+    "feeders": 1,
+    "old_ms": 1200.0,
+    "patience_ms": 1000.0,
+    "servers": 1,
+    "wave": 0.0,
+    "wave_ms": 0.0,
+}
 MOST = {"agents": 100_000, "wave": 1.0, "feeders": 100}
 
 
--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -59,8 +59,15 @@
 class Broker:
     """The calls of one call agent."""
 
-    def __init__(self, module: Module, rules: Rules, clock: Clock, deadlines: Deadlines,
-                 probe_timeout_ms: float, budgets: Budgets | None = None) -> None:
+    def __init__(
+        self,
+        module: Module,
+        rules: Rules,
+        clock: Clock,
+        deadlines: Deadlines,
+        probe_timeout_ms: float,
+        budgets: Budgets | None = None,
+    ) -> None:
         self.module, self.rules, self.clock, self.deadlines = module, rules, clock, deadlines
         self.probe_timeout_ms, self.budgets = probe_timeout_ms, budgets or Budgets()
         self.recorder = Recorder()
@@ -186,16 +193,23 @@
         self.tally.answered(request.call_class)
         request.state, request.stood_at = State.STANDING, now
         request.answer = "stands"
-        self.recorder.stands(request, attempt, description,
-                             lambda: request.front.stands(request, description))
+        self.recorder.stands(
+            request, attempt, description, lambda: request.front.stands(request, description)
+        )
         self._feed(api.CallStands(request.id, attempt.number, attempt.server, now - attempt.sent_at), request)
         if attempt.over is not None:
             self.ended(attempt, Outcome.OK)
             # Guards against the end of an earlier attempt, told again: nothing is left standing there.
             self.recorder.barrier(lambda: self._route().release(attempt))
 
-    def ended(self, attempt: Attempt, outcome: Outcome, note: int = 0, wait_ms: float = 0.0,
-              report: tuple[float, ...] = ()) -> None:
+    def ended(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        note: int = 0,
+        wait_ms: float = 0.0,
+        report: tuple[float, ...] = (),
+    ) -> None:
         """An attempt that is out has failed, or the call that stands on it has come to its end."""
         request = attempt.request
         if request.attempt is not attempt:
@@ -238,18 +252,33 @@
 
     def calls_stand(self, server: str) -> bool:
         """Whether any call stands at this server."""
-        return any(request.state is State.STANDING and request.attempt is not None
-                   and request.attempt.server == server for request in self.requests)
+        return any(
+            request.state is State.STANDING
+            and request.attempt is not None
+            and request.attempt.server == server
+            for request in self.requests
+        )
 
     def cut(self, server: str, before_ms: float, why: str) -> list[str]:
         """The calls that stood at a server since before a time are over; returns their ids."""
-        over = [request for request in self.requests
-                if request.state is State.STANDING and request.attempt is not None
-                and request.attempt.server == server and request.stood_at <= before_ms]
+        over = [
+            request
+            for request in self.requests
+            if request.state is State.STANDING
+            and request.attempt is not None
+            and request.attempt.server == server
+            and request.stood_at <= before_ms
+        ]
         for request in over:
             assert request.attempt is not None
-            log.info("call %s over: cut at %s, attempt %d, stood for %.0f ms: %s", request.id, server,
-                     request.attempt.number, self.clock.now() - request.stood_at, why)
+            log.info(
+                "call %s over: cut at %s, attempt %d, stood for %.0f ms: %s",
+                request.id,
+                server,
+                request.attempt.number,
+                self.clock.now() - request.stood_at,
+                why,
+            )
             self.ended(request.attempt, Outcome.RESET)
         if over:
             log.info("%s: %d calls cut: %s", server, len(over), why)
@@ -267,8 +296,13 @@
             elapsed = max(0.001, self.clock.now() - sent_at)
             self._feed(api.ServerReport(server, outcome, elapsed, report))
 
-    def listed(self, kind: api.ListKind, version: int, servers: Iterable[api.Server],
-               dials: Mapping[str, str] | None = None) -> set[str]:
+    def listed(
+        self,
+        kind: api.ListKind,
+        version: int,
+        servers: Iterable[api.Server],
+        dials: Mapping[str, str] | None = None,
+    ) -> set[str]:
         """The server list or changes to it; returns the servers that are no longer on it.
 
         `dials`: the servers' addresses, where the list tells them."""
@@ -355,8 +389,12 @@
                     self._send(request, server, within, now)
             case api.CancelAttempt(call, number):
                 request = self.find(call)
-                if request is not None and request.state is State.OPEN and request.attempt is not None \
-                        and request.attempt.number == number:
+                if (
+                    request is not None
+                    and request.state is State.OPEN
+                    and request.attempt is not None
+                    and request.attempt.number == number
+                ):
                     self._withdraw(request)
             case api.RefuseCall(call, stay_away):
                 request = self.find(call)
@@ -385,8 +423,12 @@
         number, request.attempts = request.attempts, request.attempts + 1
         if reason is not None:
             self.rules.stop(request, server, reason)
-            self._feed(api.AttemptEnded(request.id, number, server, Outcome.NOT_SENT, 0.0,
-                                        request.state is not State.OPEN), request)
+            self._feed(
+                api.AttemptEnded(
+                    request.id, number, server, Outcome.NOT_SENT, 0.0, request.state is not State.OPEN
+                ),
+                request,
+            )
             return
         end_at = min(request.end_at, now + within) if within > 0.0 else request.end_at
         attempt = request.attempt = Attempt(request, number, server, now, end_at)
@@ -431,8 +473,14 @@
         if attempt.timeout is not None:
             attempt.timeout.cancel()
 
-    def _end(self, attempt: Attempt, outcome: Outcome, note: int = 0, wait_ms: float = 0.0,
-             report: tuple[float, ...] = ()) -> None:
+    def _end(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        note: int = 0,
+        wait_ms: float = 0.0,
+        report: tuple[float, ...] = (),
+    ) -> None:
         self._stop(attempt)
         request, now = attempt.request, self.clock.now()
         request.attempt = None
@@ -444,13 +492,25 @@
                 self.ended_ids[request.id] = (now, request.not_before)
             self.recorder.guarded(request, attempt.server)
         if request.state is State.OPEN and (
-                attempt.over is not None or self.budgets.spent(request.call_class, request.attempts)):
+            attempt.over is not None or self.budgets.spent(request.call_class, request.attempts)
+        ):
             self._fail(request)
         if attempt.over is not None:
             self.recorder.barrier(attempt.over)
-        self._feed(api.AttemptEnded(
-            request.id, attempt.number, attempt.server, outcome, now - attempt.sent_at,
-            request.state is not State.OPEN, note, wait_ms, report), request)
+        self._feed(
+            api.AttemptEnded(
+                request.id,
+                attempt.number,
+                attempt.server,
+                outcome,
+                now - attempt.sent_at,
+                request.state is not State.OPEN,
+                note,
+                wait_ms,
+                report,
+            ),
+            request,
+        )
 
     def _withdraw(self, request: Request) -> None:
         """Gives up the attempt that is out, if any."""
@@ -511,6 +571,7 @@
         now = self.clock.now()
         self.ended_ids[call] = (now, not_before)
         self.ended_ids.move_to_end(call)
-        while self.ended_ids and (len(self.ended_ids) > REMEMBER_MOST
-                                  or next(iter(self.ended_ids.values()))[0] < now - REMEMBER_MS):
+        while self.ended_ids and (
+            len(self.ended_ids) > REMEMBER_MOST or next(iter(self.ended_ids.values()))[0] < now - REMEMBER_MS
+        ):
             self.recorder.forgotten(self.ended_ids.popitem(last=False)[0])
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -66,8 +66,9 @@
 
     def repeats(self, service: str, client: str, description: bytes) -> bool:
         """Whether this set-up is the one that was answered."""
-        return (service == self.service and self.client in ("", client)
-                and zlib.crc32(description) == self.print)
+        return (
+            service == self.service and self.client in ("", client) and zlib.crc32(description) == self.print
+        )
 
 
 def held_until(answered_at: float, now_ms: float, longest_ms: float) -> float:
--- a/frostport/core/contracts.py
+++ b/frostport/core/contracts.py
@@ -94,8 +94,13 @@
         raise ContractError(f"{place}.attempts: not a whole number")
     if figures["aim_ms"] > figures["deadline_ms"]:
         raise ContractError(f"{place}.aim_ms: past deadline_ms")
-    return Contract(service, figures["aim_ms"], figures["deadline_ms"], int(figures["attempts"]),
-                    figures["set_ups_per_second"])
+    return Contract(
+        service,
+        figures["aim_ms"],
+        figures["deadline_ms"],
+        int(figures["attempts"]),
+        figures["set_ups_per_second"],
+    )
 
 
 def figure(place: str, value: object) -> float:
@@ -110,7 +115,8 @@
     for contract in contracts:
         known = classes.get(contract.service) or api.CallClass(contract.service, 0.0, 0.0)
         classes[contract.service] = dataclasses.replace(
-            known, aim_ms=contract.aim_ms, deadline_ms=contract.deadline_ms)
+            known, aim_ms=contract.aim_ms, deadline_ms=contract.deadline_ms
+        )
     return dataclasses.replace(settings, classes=tuple(classes.values()))
 
 
@@ -152,8 +158,13 @@
     def _prune(self, now: float) -> None:
         """Guards against team names without end: a bucket that is full again is as good as none."""
         rates = {service: contract.set_ups_per_second for service, contract in self.contracts.items()}
-        self._keep({key: (tokens, at) for key, (tokens, at) in self._buckets.items()
-                    if tokens + (now - at) / 1000.0 * rates[key[1]] < max(1.0, rates[key[1]] * BURST_S)})
+        self._keep(
+            {
+                key: (tokens, at)
+                for key, (tokens, at) in self._buckets.items()
+                if tokens + (now - at) / 1000.0 * rates[key[1]] < max(1.0, rates[key[1]] * BURST_S)
+            }
+        )
 
     def _keep(self, buckets: dict[tuple[str, str], tuple[float, float]]) -> None:
         for team, service in self._buckets.keys() - buckets.keys():
--- a/frostport/core/rules.py
+++ b/frostport/core/rules.py
@@ -86,5 +86,6 @@
 
     def stop(self, request: Request, server: str, reason: str) -> None:
         self.stopped[reason] += 1
-        log.warning("send of %s to %s stopped: %s (%d so far)", request.id, server, reason,
-                    self.stopped.total())
+        log.warning(
+            "send of %s to %s stopped: %s (%d so far)", request.id, server, reason, self.stopped.total()
+        )
--- a/frostport/decide.py
+++ b/frostport/decide.py
@@ -77,20 +77,27 @@
         if self.ran is None or self.cls.effect is Effect.PURE:
             return True
         alike = {"all": True, "zone": server.zone == self.ran.zone, "cell": server.number == self.ran.number}
-        return (self.cls.effect is Effect.TOKEN and now < self.repeat_until
-                and alike.get(self.cls.key_scope, False))
+        return (
+            self.cls.effect is Effect.TOKEN
+            and now < self.repeat_until
+            and alike.get(self.cls.key_scope, False)
+        )
 
     def may_refuse(self) -> bool:
         """Whether its caller may be told that it never ran."""
-        return (self.ran is None or self.cls.effect is Effect.PURE
-                or (self.cls.effect is Effect.TOKEN and self.cls.key_scope == "all"))
+        return (
+            self.ran is None
+            or self.cls.effect is Effect.PURE
+            or (self.cls.effect is Effect.TOKEN and self.cls.key_scope == "all")
+        )
 
 
 class Control:
     """What a proxy keeps of one server: Detection, Update and Restriction, pauses and cold start."""
 
-    def __init__(self, server: api.Server, settings: api.Settings, now: float, phase: float,
-                 pace: float = 1.0):
+    def __init__(
+        self, server: api.Server, settings: api.Settings, now: float, phase: float, pace: float = 1.0
+    ):
         self.server, self.settings, self.pace = server, settings, pace
         self.rate_s, self.news_ms = RATE_S * pace, NEWS_MS * pace
         self.phase = phase  # puts first tokens and probes of the proxies apart: in step they are a crowd
@@ -213,9 +220,16 @@
         self.siblings = settings.siblings  # proxies that serve, with this one
         self.bad_messages = 0  # peer messages that did not decode
         self.on: dict[type, Any] = {
-            api.CallArrived: self.arrive, api.CallStands: self.stands, api.AttemptEnded: self.ended,
-            api.CallGone: self.drop, api.ListUpdate: self.listed, api.ServerReport: self.reported,
-            api.PeerMessage: self.heard, api.TimerFired: self.rang, api.SiblingsUp: self.counted}
+            api.CallArrived: self.arrive,
+            api.CallStands: self.stands,
+            api.AttemptEnded: self.ended,
+            api.CallGone: self.drop,
+            api.ListUpdate: self.listed,
+            api.ServerReport: self.reported,
+            api.PeerMessage: self.heard,
+            api.TimerFired: self.rang,
+            api.SiblingsUp: self.counted,
+        }
 
     def handle(self, event: api.Event, now_ms: float) -> list[api.Action]:
         """One event in, the actions it calls for out."""
@@ -286,10 +300,14 @@
 
     def usable(self, control: Control, call: Call, now: float) -> bool:
         number = control.server.number
-        return (control.server.state is Lifecycle.READY and now >= control.skip_until
-                and not (control.strikes and control.out) and number != self.settings.home_number
-                and (call.cls.pools is None or number in call.cls.pools)
-                and call.may_repeat(control.server, now))
+        return (
+            control.server.state is Lifecycle.READY
+            and now >= control.skip_until
+            and not (control.strikes and control.out)
+            and number != self.settings.home_number
+            and (call.cls.pools is None or number in call.cls.pools)
+            and call.may_repeat(control.server, now)
+        )
 
     def route(self, call: Call, now: float) -> Control | None:
         """First choice under its ceiling, else the kept server, redrawn at random if it may not be used."""
@@ -310,7 +328,7 @@
         if not free or call.transit:
             return None
         # By lines: a small server would else get as much of the others' calls as a large one.
-        self.kept, = self.random.choices(free, [control.size for control in free])
+        (self.kept,) = self.random.choices(free, [control.size for control in free])
         return self.kept
 
     def send(self, call: Call, control: Control, now: float, out: list[api.Action]) -> None:
@@ -371,8 +389,9 @@
             # A stated wait is not heeded: a server that pauses for a moment states far too long a one.
             control.skip_until = max(control.skip_until, now + SKIP_MS)
         elif event.outcome is Outcome.CONNECT_FAILED or (
-                event.outcome is Outcome.TIMEOUT
-                and (control.stood_at <= call.sent_at or control.share > 2.0 * TARGET)):
+            event.outcome is Outcome.TIMEOUT
+            and (control.stood_at <= call.sent_at or control.share > 2.0 * TARGET)
+        ):
             # Guards against unreachable and silent servers: growing pauses, then one trial at a time. Where
             # others stood since and few were late, one answer was lost: a pause would throw all calls at the
             # other servers.
@@ -385,8 +404,11 @@
             call.fault = control
         if event.closed:
             del self.calls[call.id]
-        elif now >= call.end_at - 1.0 or call.attempts >= self.settings.try_limit \
-                or (call.ran is not None and call.cls.effect is Effect.SIDE_EFFECT):
+        elif (
+            now >= call.end_at - 1.0
+            or call.attempts >= self.settings.try_limit
+            or (call.ran is not None and call.cls.effect is Effect.SIDE_EFFECT)
+        ):
             out.append(api.FailCall(call.id))
             self.end(call)
         else:
@@ -405,14 +427,17 @@
         for server in event.servers:
             known = self.controls.get(server.address)
             control = self.controls[server.address] = known or Control(
-                server, self.settings, now, self.random.random(), self.pace)
+                server, self.settings, now, self.random.random(), self.pace
+            )
             fresh = known is None or server.started_ms > control.server.started_ms
             control.server = server
             if fresh and server.started_ms > now - self.settings.cold_ms:
                 self.chill(control, server.started_ms, now)
-        self.controls = {at: control for at, control in self.controls.items()
-                         if control.server.state is not Lifecycle.GONE
-                         and (event.kind is ListKind.CHANGES or at in named)}
+        self.controls = {
+            at: control
+            for at, control in self.controls.items()
+            if control.server.state is not Lifecycle.GONE and (event.kind is ListKind.CHANGES or at in named)
+        }
         self.even(now)
 
     def even(self, now: float) -> None:
@@ -474,8 +499,11 @@
         self.beat_at = math.inf
         for call in self.calls.values():
             # An attempt still out counts once it is as late as a reject: full and time-outs come too late.
-            if call.out is not None and not call.counted \
-                    and now - call.sent_at >= (HARD + self.easy(call.out) - EASY) * self.pinch:
+            if (
+                call.out is not None
+                and not call.counted
+                and now - call.sent_at >= (HARD + self.easy(call.out) - EASY) * self.pinch
+            ):
                 self.witness(call, call.out, now, 1.0)
         # The call itself, not its id: one that was given up may have come again under it meanwhile.
         waiting, self.held = [call for call in self.held if self.calls.get(call.id) is call], []
@@ -498,9 +526,15 @@
         ready = self.ready()
         others = self.settings.siblings - 1
         news = b"".join(
-            NEWS.pack(control.server.number & 0xFFFF, round(8.0 * control.answers),
-                      round(255.0 * control.share), min(255, int((now - control.heard_at) / AGE_MS)))
-            for control in ready if control.weight(now) >= ENOUGH)[:256 - 256 % NEWS.size]
+            NEWS.pack(
+                control.server.number & 0xFFFF,
+                round(8.0 * control.answers),
+                round(255.0 * control.share),
+                min(255, int((now - control.heard_at) / AGE_MS)),
+            )
+            for control in ready
+            if control.weight(now) >= ENOUGH
+        )[: 256 - 256 % NEWS.size]
         if self.settings.peers and news:
             for step in self.random.sample(range(others), min(PEERS_TOLD, others)):
                 out.append(api.TellPeer((self.settings.me + 1 + step) % (others + 1), news))
--- a/frostport/diameter/avp.py
+++ b/frostport/diameter/avp.py
@@ -41,8 +41,11 @@
     UNSIGNED64 = ("unsigned64", 8)
 
 
-PACK = {Kind.UNSIGNED32: struct.Struct("!I"), Kind.ENUMERATED: struct.Struct("!i"),
-        Kind.UNSIGNED64: struct.Struct("!Q")}
+PACK = {
+    Kind.UNSIGNED32: struct.Struct("!I"),
+    Kind.ENUMERATED: struct.Struct("!i"),
+    Kind.UNSIGNED64: struct.Struct("!Q"),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,8 +96,9 @@
 # 3GPP TS 29.273: how long the originator waits for the answer, in milliseconds.
 MAXIMUM_WAIT_TIME = Definition("Maximum-Wait-Time", 1537, Kind.UNSIGNED32, vendor=10415, mandatory=False)
 
-DICTIONARY = {(entry.vendor, entry.code): entry
-              for entry in list(globals().values()) if isinstance(entry, Definition)}
+DICTIONARY = {
+    (entry.vendor, entry.code): entry for entry in list(globals().values()) if isinstance(entry, Definition)
+}
 # Further AVPs of RFC 8506's CCR and CCA, handed on unread between client and server.
 CREDIT_CONTROL_CODES = frozenset({27, 33, 55, 85, 292, 412, 413, 414, *range(417, 463), *range(649, 670)})
 
@@ -133,7 +137,7 @@
     avps = []
     at = 0
     while at < len(data):
-        head = data[at:at + 8]
+        head = data[at : at + 8]
         if len(head) < 8:
             raise AvpError(INVALID_AVP_LENGTH, "AVP header cut off", head.ljust(8, b"\0"))
         code, word = struct.unpack("!II", head)
@@ -144,8 +148,8 @@
             known = DICTIONARY.get((0, code))
             empty = Avp(code, bytes(known.kind.value[1]) if known else b"", 0, flags)
             raise AvpError(INVALID_AVP_LENGTH, f"AVP {code}: length {length}", empty.encode())
-        vendor = struct.unpack("!I", data[at + 8:at + 12])[0] if flags & VENDOR else 0
-        avp = Avp(code, data[at + least:at + length], vendor, flags)
+        vendor = struct.unpack("!I", data[at + 8 : at + 12])[0] if flags & VENDOR else 0
+        avp = Avp(code, data[at + least : at + length], vendor, flags)
         if flags & RESERVED_AVP_BITS:
             raise AvpError(INVALID_AVP_BITS, f"AVP {code}: reserved bits", avp.encode())
         avps.append(avp)
@@ -218,16 +222,31 @@
 
     def encode(self) -> bytes:
         body = b"".join(avp.encode() for avp in self.avps)
-        return struct.pack("!IIIII", VERSION << 24 | HEADER + len(body), self.flags << 24 | self.command,
-                           self.application, self.hop_by_hop, self.end_to_end) + body
+        return (
+            struct.pack(
+                "!IIIII",
+                VERSION << 24 | HEADER + len(body),
+                self.flags << 24 | self.command,
+                self.application,
+                self.hop_by_hop,
+                self.end_to_end,
+            )
+            + body
+        )
 
     def answer(self, result: int, avps: Iterable[Avp]) -> Message:
         """An answer to this request; the E bit goes with the protocol errors, 3000 to 3999."""
         flags = (self.flags & PROXIABLE) | (ERROR if 3000 <= result < 4000 else 0)
         first = [avp for avp in self.avps if avp.code == SESSION_ID.code and not avp.vendor][:1]
         info = [avp for avp in self.avps if avp.code == PROXY_INFO.code and not avp.vendor]
-        return Message(self.command, self.application, self.hop_by_hop, self.end_to_end, flags,
-                       [*first, make(RESULT_CODE, result), *avps, *info])
+        return Message(
+            self.command,
+            self.application,
+            self.hop_by_hop,
+            self.end_to_end,
+            flags,
+            [*first, make(RESULT_CODE, result), *avps, *info],
+        )
 
 
 def read_header(frame: bytes) -> Message:
@@ -241,13 +260,32 @@
     CE: (ORIGIN_HOST, ORIGIN_REALM, HOST_IP_ADDRESS, VENDOR_ID, PRODUCT_NAME),
     DW: (ORIGIN_HOST, ORIGIN_REALM),
     DP: (ORIGIN_HOST, ORIGIN_REALM, DISCONNECT_CAUSE),
-    CC: (SESSION_ID, ORIGIN_HOST, ORIGIN_REALM, DESTINATION_REALM, AUTH_APPLICATION_ID, SERVICE_CONTEXT_ID,
-         CC_REQUEST_TYPE, CC_REQUEST_NUMBER),
+    CC: (
+        SESSION_ID,
+        ORIGIN_HOST,
+        ORIGIN_REALM,
+        DESTINATION_REALM,
+        AUTH_APPLICATION_ID,
+        SERVICE_CONTEXT_ID,
+        CC_REQUEST_TYPE,
+        CC_REQUEST_NUMBER,
+    ),
     AS: (SESSION_ID, ORIGIN_HOST, ORIGIN_REALM, DESTINATION_REALM, DESTINATION_HOST, AUTH_APPLICATION_ID),
 }
-SEVERAL = {entry.code for entry in (
-    HOST_IP_ADDRESS, SUPPORTED_VENDOR_ID, AUTH_APPLICATION_ID, ACCT_APPLICATION_ID, INBAND_SECURITY_ID,
-    VENDOR_SPECIFIC_APPLICATION_ID, ROUTE_RECORD, PROXY_INFO, FAILED_AVP)}
+SEVERAL = {
+    entry.code
+    for entry in (
+        HOST_IP_ADDRESS,
+        SUPPORTED_VENDOR_ID,
+        AUTH_APPLICATION_ID,
+        ACCT_APPLICATION_ID,
+        INBAND_SECURITY_ID,
+        VENDOR_SPECIFIC_APPLICATION_ID,
+        ROUTE_RECORD,
+        PROXY_INFO,
+        FAILED_AVP,
+    )
+}
 
 
 def check(message: Message) -> None:
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -28,11 +28,29 @@
 OPEN_MOST = 1_000  # set-ups without an answer, of all clients
 LOSS_ALGORITHM = 1  # OLR_DEFAULT_ALGO (RFC 7683)
 HOST_REPORT = 0
-OWN = frozenset((entry.vendor, entry.code) for entry in (
-    avp.SESSION_ID, avp.ORIGIN_HOST, avp.ORIGIN_REALM, avp.ORIGIN_STATE_ID, avp.DESTINATION_HOST,
-    avp.DESTINATION_REALM, avp.AUTH_APPLICATION_ID, avp.SERVICE_CONTEXT_ID, avp.CC_REQUEST_TYPE,
-    avp.CC_REQUEST_NUMBER, avp.RESULT_CODE, avp.ROUTE_RECORD, avp.PROXY_INFO, avp.OC_SUPPORTED_FEATURES,
-    avp.OC_OLR, avp.ERROR_MESSAGE, avp.FAILED_AVP, avp.MAXIMUM_WAIT_TIME))
+OWN = frozenset(
+    (entry.vendor, entry.code)
+    for entry in (
+        avp.SESSION_ID,
+        avp.ORIGIN_HOST,
+        avp.ORIGIN_REALM,
+        avp.ORIGIN_STATE_ID,
+        avp.DESTINATION_HOST,
+        avp.DESTINATION_REALM,
+        avp.AUTH_APPLICATION_ID,
+        avp.SERVICE_CONTEXT_ID,
+        avp.CC_REQUEST_TYPE,
+        avp.CC_REQUEST_NUMBER,
+        avp.RESULT_CODE,
+        avp.ROUTE_RECORD,
+        avp.PROXY_INFO,
+        avp.OC_SUPPORTED_FEATURES,
+        avp.OC_OLR,
+        avp.ERROR_MESSAGE,
+        avp.FAILED_AVP,
+        avp.MAXIMUM_WAIT_TIME,
+    )
+)
 
 
 def carried(message: Message) -> bytes:
@@ -57,9 +75,18 @@
 class DiameterFront(Node):
     """Takes credit-control requests from client peers, and answers each once."""
 
-    def __init__(self, broker: Broker, lifecycle: Lifecycle, identity: Identity, clients: list[str],
-                 numbers: dict[str, int], interval_ms: float, chance: random.Random,
-                 gate: Gate, left: Callable[[object], bool] = lambda transport: False) -> None:
+    def __init__(
+        self,
+        broker: Broker,
+        lifecycle: Lifecycle,
+        identity: Identity,
+        clients: list[str],
+        numbers: dict[str, int],
+        interval_ms: float,
+        chance: random.Random,
+        gate: Gate,
+        left: Callable[[object], bool] = lambda transport: False,
+    ) -> None:
         """`left`: whether the other side of a transport has closed, asked of the system."""
         super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
         self.broker, self.lifecycle, self.numbers, self.gate = broker, lifecycle, numbers, gate
@@ -157,7 +184,8 @@
             return
         context = next(found for found in message.avps if found.code == avp.SERVICE_CONTEXT_ID.code)
         cls = {cls.name: cls for cls in self.broker.rules.settings.classes}.get(
-            str(message.get(avp.SERVICE_CONTEXT_ID)).partition("@")[0])
+            str(message.get(avp.SERVICE_CONTEXT_ID)).partition("@")[0]
+        )
         if cls is None:
             link.reply(message, avp.INVALID_AVP_VALUE, error="no such service", failed=context.encode())
             return
@@ -177,21 +205,45 @@
         left = cls.deadline_ms if wait is None else float(wait)
         if not 0.0 < left <= max(cls.deadline_ms * WAIT_MOST, 1.0):
             wrong = next(found for found in message.avps if found.code == avp.MAXIMUM_WAIT_TIME.code)
-            link.reply(message, avp.INVALID_AVP_VALUE, error="no time that a caller could wait",
-                       failed=wrong.encode())
+            link.reply(
+                message,
+                avp.INVALID_AVP_VALUE,
+                error="no time that a caller could wait",
+                failed=wrong.encode(),
+            )
             return
         called = str(message.get(avp.CALLED_STATION_ID) or "")
         features = message.get(avp.OC_SUPPORTED_FEATURES)
         vector = avp.find(features, avp.OC_FEATURE_VECTOR) if features is not None else 0
         self.sessions[name] = Session(
-            link.host, str(message.get(avp.ORIGIN_REALM)),
+            link.host,
+            str(message.get(avp.ORIGIN_REALM)),
             features is not None and bool((LOSS_ALGORITHM if vector is None else vector) & LOSS_ALGORITHM),
-            [(link, message)])
-        request = Request(name, cls.name, called, carried(message), self.clock.now() + left, self, link.slot,
-                          link.realm, client=link.host, identity=message.end_to_end)
-        self.broker.arrive(request, api.CallArrived(
-            name, cls.name, "-", left, self.numbers.get(str(message.get(avp.DESTINATION_HOST)), -1),
-            int.from_bytes(called.encode()[-6:], "big")))
+            [(link, message)],
+        )
+        request = Request(
+            name,
+            cls.name,
+            called,
+            carried(message),
+            self.clock.now() + left,
+            self,
+            link.slot,
+            link.realm,
+            client=link.host,
+            identity=message.end_to_end,
+        )
+        self.broker.arrive(
+            request,
+            api.CallArrived(
+                name,
+                cls.name,
+                "-",
+                left,
+                self.numbers.get(str(message.get(avp.DESTINATION_HOST)), -1),
+                int.from_bytes(called.encode()[-6:], "big"),
+            ),
+        )
 
     def terminate(self, link: PeerConnection, message: Message) -> None:
         self.broker.recorder.look()
@@ -250,8 +302,11 @@
 
     def lost(self, peer: Peer, link: PeerConnection) -> None:
         """The set-ups that wait on a connection alone go with it."""
-        self.aborts = {hop: call for hop, call in self.aborts.items()
-                       if self.owed.get(call, (peer.host,))[0] != peer.host}
+        self.aborts = {
+            hop: call
+            for hop, call in self.aborts.items()
+            if self.owed.get(call, (peer.host,))[0] != peer.host
+        }
         for name, session in list(self.sessions.items()):
             if session.answer is None:
                 session.waiting = [(at, message) for at, message in session.waiting if at is not link]
@@ -280,9 +335,16 @@
             seconds = math.ceil(stay_away_ms / 1000.0)
             advice = [
                 make(avp.OC_SUPPORTED_FEATURES, [make(avp.OC_FEATURE_VECTOR, LOSS_ALGORITHM)]),
-                make(avp.OC_OLR, [
-                    make(avp.OC_SEQUENCE_NUMBER, self.sequence), make(avp.OC_REPORT_TYPE, HOST_REPORT),
-                    make(avp.OC_REDUCTION_PERCENTAGE, 100), make(avp.OC_VALIDITY_DURATION, seconds)])]
+                make(
+                    avp.OC_OLR,
+                    [
+                        make(avp.OC_SEQUENCE_NUMBER, self.sequence),
+                        make(avp.OC_REPORT_TYPE, HOST_REPORT),
+                        make(avp.OC_REDUCTION_PERCENTAGE, 100),
+                        make(avp.OC_VALIDITY_DURATION, seconds),
+                    ],
+                ),
+            ]
         self._final(request, avp.TOO_BUSY, advice)
 
     def failed(self, request: Request) -> None:
@@ -301,8 +363,9 @@
 
         Once the end is told without the answer, duplicates hear that the call has failed."""
         peer = self.peers.get(session.client)
-        if given is None or (session.heard_on is not None and peer is not None
-                             and peer.open() is session.heard_on):
+        if given is None or (
+            session.heard_on is not None and peer is not None and peer.open() is session.heard_on
+        ):
             return False
         until = held_until(given.at, now, self.longest_ms)
         if session.heard_on is not None or until <= now:  # no restart since the answer, or nobody waits
@@ -327,8 +390,9 @@
         self.owed[call] = (client, outcome)
         self.deadlines.set(since + OWED_MS, lambda: self._no_more(call))
 
-    def resume(self, owed: Mapping[str, tuple[str, Outcome, float]],
-               given: Callable[[str], Given | None]) -> None:
+    def resume(
+        self, owed: Mapping[str, tuple[str, Outcome, float]], given: Callable[[str], Given | None]
+    ) -> None:
         """Releases owed since before a restart: client, outcome, since when. The sessions are known."""
         now = self.clock.now()
         for call, (client, outcome, since) in owed.items():
@@ -336,8 +400,16 @@
             if (session := self.sessions.get(call)) is not None:
                 self._hold(call, session, given(call), now)
 
-    def resume_session(self, call: str, client: str, realm: str, answer: str, body: bytes,
-                       ended_by: int = -1, over_at: float | None = None) -> None:
+    def resume_session(
+        self,
+        call: str,
+        client: str,
+        realm: str,
+        answer: str,
+        body: bytes,
+        ended_by: int = -1,
+        over_at: float | None = None,
+    ) -> None:
         """A session from before a restart, with the answer that its duplicates get; `over_at`: when it
         ended."""
         results = {"stands": avp.SUCCESS, "refused": avp.TOO_BUSY}
@@ -374,10 +446,14 @@
         if self.sessions.get(call) is session:
             del self.sessions[call]
 
-    def _answer(self, link: PeerConnection, message: Message, result: int, avps: list[Avp],
-                error: str = "") -> None:
-        echoed = [found for found in message.avps if not found.vendor and found.code in (
-            avp.CC_REQUEST_TYPE.code, avp.CC_REQUEST_NUMBER.code)]
+    def _answer(
+        self, link: PeerConnection, message: Message, result: int, avps: list[Avp], error: str = ""
+    ) -> None:
+        echoed = [
+            found
+            for found in message.avps
+            if not found.vendor and found.code in (avp.CC_REQUEST_TYPE.code, avp.CC_REQUEST_NUMBER.code)
+        ]
         application = make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL)
         link.reply(message, result, [application, *echoed, *avps], error)
 
@@ -387,9 +463,16 @@
         for peer in self.peers.values():
             link = peer.open()
             if link is not None and client in ("", peer.host):
-                hop = link.ask(avp.AS, [
-                    make(avp.SESSION_ID, call), *self.identity.avps(),
-                    make(avp.DESTINATION_REALM, link.realm), make(avp.DESTINATION_HOST, peer.host),
-                    make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL), make(avp.TERMINATION_CAUSE, cause),
-                ], avp.CREDIT_CONTROL)
+                hop = link.ask(
+                    avp.AS,
+                    [
+                        make(avp.SESSION_ID, call),
+                        *self.identity.avps(),
+                        make(avp.DESTINATION_REALM, link.realm),
+                        make(avp.DESTINATION_HOST, peer.host),
+                        make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
+                        make(avp.TERMINATION_CAUSE, cause),
+                    ],
+                    avp.CREDIT_CONTROL,
+                )
                 self.aborts[hop] = call
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -71,9 +71,14 @@
     def capabilities(self) -> list[Avp]:
         packed = ipaddress.ip_address(self.address).packed
         family = struct.pack("!H", 1 if len(packed) == 4 else 2)
-        return [*self.avps(), make(avp.HOST_IP_ADDRESS, family + packed), make(avp.VENDOR_ID, 0),
-                make(avp.PRODUCT_NAME, "frostport"), make(avp.ORIGIN_STATE_ID, self.state_id),
-                make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL)]
+        return [
+            *self.avps(),
+            make(avp.HOST_IP_ADDRESS, family + packed),
+            make(avp.VENDOR_ID, 0),
+            make(avp.PRODUCT_NAME, "frostport"),
+            make(avp.ORIGIN_STATE_ID, self.state_id),
+            make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
+        ]
 
 
 class Owner:
@@ -107,8 +112,15 @@
 
     transport: Any = None
 
-    def __init__(self, identity: Identity, owner: Owner, clock: Clock, deadlines: Deadlines,
-                 called: str, first_id: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        owner: Owner,
+        clock: Clock,
+        deadlines: Deadlines,
+        called: str,
+        first_id: Callable[[], int],
+    ) -> None:
         self.identity, self.owner, self.clock, self.deadlines = identity, owner, clock, deadlines
         self.called, self.next_id = called, first_id  # the peer that was called, "" where it calls
         self.state = Link.CLOSED
@@ -237,8 +249,14 @@
         if self.state is not Link.CLOSED:
             self.transport.write(message.encode())
 
-    def reply(self, request: Message, result: int, avps: list[Avp] | None = None, error: str = "",
-              failed: bytes = b"") -> None:
+    def reply(
+        self,
+        request: Message,
+        result: int,
+        avps: list[Avp] | None = None,
+        error: str = "",
+        failed: bytes = b"",
+    ) -> None:
         rest = [*self.identity.avps(), *(avps or [])]
         if error:
             rest.append(make(avp.ERROR_MESSAGE, error))
@@ -251,7 +269,7 @@
     def _frame(self, frame: bytes) -> None:
         message = avp.read_header(frame)
         try:
-            message.avps = avp.read_avps(frame[avp.HEADER:])
+            message.avps = avp.read_avps(frame[avp.HEADER :])
             if message.is_request:
                 avp.check(message)
             else:
@@ -364,11 +382,11 @@
 
 def readable_session(frame: bytes) -> list[Avp]:
     """The Session-Id of a message that can't be read whole: it comes first (RFC 6733, section 8.8)."""
-    code, word = struct.unpack("!II", frame[avp.HEADER:avp.HEADER + 8].ljust(8, b"\0"))
+    code, word = struct.unpack("!II", frame[avp.HEADER : avp.HEADER + 8].ljust(8, b"\0"))
     length = word & 0xFFFFFF
     if code != avp.SESSION_ID.code or not 8 < length <= len(frame) - avp.HEADER:
         return []
-    return [Avp(code, frame[avp.HEADER + 8:avp.HEADER + length], 0, word >> 24)]
+    return [Avp(code, frame[avp.HEADER + 8 : avp.HEADER + length], 0, word >> 24)]
 
 
 class Peer:
@@ -386,8 +404,14 @@
 class Node(Owner):
     """What the front and the route share: peers by name, their connections in slots, their watchdogs."""
 
-    def __init__(self, identity: Identity, clock: Clock, deadlines: Deadlines, interval_ms: float,
-                 chance: random.Random) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        clock: Clock,
+        deadlines: Deadlines,
+        interval_ms: float,
+        chance: random.Random,
+    ) -> None:
         self.identity, self.clock, self.deadlines = identity, clock, deadlines
         self.interval_ms, self.chance = interval_ms, chance
         self.links: Slots[PeerConnection] = Slots()
@@ -401,15 +425,23 @@
     def add(self, peer: Peer) -> None:
         def ask() -> None:
             if peer.link is not None:
-                peer.link.ask(avp.DW, [*self.identity.avps(),
-                                       make(avp.ORIGIN_STATE_ID, self.identity.state_id)])
+                peer.link.ask(
+                    avp.DW, [*self.identity.avps(), make(avp.ORIGIN_STATE_ID, self.identity.state_id)]
+                )
 
         def close() -> None:
             if peer.link is not None:
                 peer.link.drop()
 
-        peer.watchdog = Watchdog(self.clock, self.deadlines, self.interval_ms, self.chance, ask, close,
-                                 lambda before, after: self.watched(peer, before, after))
+        peer.watchdog = Watchdog(
+            self.clock,
+            self.deadlines,
+            self.interval_ms,
+            self.chance,
+            ask,
+            close,
+            lambda before, after: self.watched(peer, before, after),
+        )
         self.peers[peer.host] = peer
 
     def connection(self, called: str = "") -> PeerConnection:
--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -54,9 +54,17 @@
 class DiameterRoute(Node):
     """Sets calls up at server peers. A peer that misses a watchdog is told to the module as draining."""
 
-    def __init__(self, broker: Broker, front: Front, identity: Identity, servers: list[DiameterServer],
-                 interval_ms: float, sessions_lost_ms: float, chance: random.Random,
-                 connect: Callable[[str, PeerConnection], defer.Deferred[object]]) -> None:
+    def __init__(
+        self,
+        broker: Broker,
+        front: Front,
+        identity: Identity,
+        servers: list[DiameterServer],
+        interval_ms: float,
+        sessions_lost_ms: float,
+        chance: random.Random,
+        connect: Callable[[str, PeerConnection], defer.Deferred[object]],
+    ) -> None:
         super().__init__(identity, broker.clock, broker.deadlines, interval_ms, chance)
         self.broker, self.front, self.connect = broker, front, connect
         self.sessions_lost_ms = sessions_lost_ms
@@ -107,8 +115,11 @@
         server.told = None if state is Lifecycle.GONE else state
         self.version += 1
         log.info("%s is told as %s", server.host, state.value)
-        self.broker.listed(ListKind.CHANGES, self.version, [api.Server(
-            server.host, server.entry.number, state, server.entry.zone, server.started_ms)])
+        self.broker.listed(
+            ListKind.CHANGES,
+            self.version,
+            [api.Server(server.host, server.entry.number, state, server.entry.zone, server.started_ms)],
+        )
 
     # Peers
 
@@ -171,8 +182,9 @@
         server.owed.append(call)
         self.broker.recorder.release_owed(server.host, call)
 
-    def resume(self, peers: Mapping[str, tuple[int | None, float]],
-               releases: Iterable[tuple[str, str]]) -> None:
+    def resume(
+        self, peers: Mapping[str, tuple[int | None, float]], releases: Iterable[tuple[str, str]]
+    ) -> None:
         """What was on record before a restart: Origin-State-Ids and starts; servers and calls to be ended
         there."""
         for host, (state_id, started_ms) in peers.items():
@@ -189,8 +201,11 @@
     def _gone(self, server: ServerPeer) -> None:
         """Away too long: what stood there is over towards its clients, and ended there when it is back."""
         for request in self.broker.requests:
-            if request.state is State.STANDING and request.attempt is not None \
-                    and request.attempt.server == server.host:
+            if (
+                request.state is State.STANDING
+                and request.attempt is not None
+                and request.attempt.server == server.host
+            ):
                 self._owe(server, request.id)
         self.broker.cut(server.host, self.clock.now(), "away too long")
         self.tell(server, Lifecycle.GONE)
@@ -200,8 +215,11 @@
     def watchdog(self, link: PeerConnection, answered: bool) -> None:
         super().watchdog(link, answered)
         server = self.servers.get(link.host)
-        if server is not None and server.link is link \
-                and server.liveness.heard(self.clock.now(), link.process_seen_ms):
+        if (
+            server is not None
+            and server.link is link
+            and server.liveness.heard(self.clock.now(), link.process_seen_ms)
+        ):
             log.info("%s: liveness: suspected -> alive", server.host)
 
     def _look(self) -> None:
@@ -219,8 +237,11 @@
         for action in server.liveness.look(now_ms, self.broker.calls_stand(server.host)):
             match action:
                 case Suspected(since_ms):
-                    log.warning("%s: liveness: alive -> suspected, nothing heard for %.0f ms", server.host,
-                                now_ms - since_ms)
+                    log.warning(
+                        "%s: liveness: alive -> suspected, nothing heard for %.0f ms",
+                        server.host,
+                        now_ms - since_ms,
+                    )
                     self.broker.tally.suspected(server.host)
                 case AskForLife():
                     self._ask_for_life(server)
@@ -254,20 +275,30 @@
         body = request.description
         assert isinstance(body, bytes)
         left = max(1, round(attempt.end_at - self.clock.now()))
-        attempt.link = link.ask(avp.CC, [
-            *self._head(server, request.id, avp.INITIAL, attempt.number),
-            make(avp.SERVICE_CONTEXT_ID, f"{request.call_class}@{self.identity.realm}"),
-            make(avp.MAXIMUM_WAIT_TIME, left), *avp.read_avps(body)], avp.CREDIT_CONTROL)
+        attempt.link = link.ask(
+            avp.CC,
+            [
+                *self._head(server, request.id, avp.INITIAL, attempt.number),
+                make(avp.SERVICE_CONTEXT_ID, f"{request.call_class}@{self.identity.realm}"),
+                make(avp.MAXIMUM_WAIT_TIME, left),
+                *avp.read_avps(body),
+            ],
+            avp.CREDIT_CONTROL,
+        )
         server.out[attempt.link] = attempt
         self.broker.tally.sent(request.call_class)
 
     def _head(self, server: ServerPeer, call: str, kind: int, number: int) -> list[avp.Avp]:
         link = server.open()
-        return [make(avp.SESSION_ID, call), *self.identity.avps(),
-                make(avp.DESTINATION_REALM, link.realm if link is not None else ""),
-                make(avp.DESTINATION_HOST, server.host),
-                make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
-                make(avp.CC_REQUEST_TYPE, kind), make(avp.CC_REQUEST_NUMBER, number)]
+        return [
+            make(avp.SESSION_ID, call),
+            *self.identity.avps(),
+            make(avp.DESTINATION_REALM, link.realm if link is not None else ""),
+            make(avp.DESTINATION_HOST, server.host),
+            make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
+            make(avp.CC_REQUEST_TYPE, kind),
+            make(avp.CC_REQUEST_NUMBER, number),
+        ]
 
     def _end_session(self, server: ServerPeer, call: str) -> None:
         link = server.open()
@@ -275,9 +306,14 @@
             self._owe(server, call)
         else:
             last = self.broker.rules.settings.try_limit
-            link.ask(avp.CC, [
-                *self._head(server, call, avp.TERMINATION, last),
-                make(avp.SERVICE_CONTEXT_ID, f"release@{self.identity.realm}")], avp.CREDIT_CONTROL)
+            link.ask(
+                avp.CC,
+                [
+                    *self._head(server, call, avp.TERMINATION, last),
+                    make(avp.SERVICE_CONTEXT_ID, f"release@{self.identity.realm}"),
+                ],
+                avp.CREDIT_CONTROL,
+            )
 
     def give_up(self, attempt: Attempt) -> None:
         server = self.servers[attempt.server]
--- a/frostport/diameter/watchdog.py
+++ b/frostport/diameter/watchdog.py
@@ -26,9 +26,16 @@
 class Watchdog:
     """One peer's watchdog; it outlives the peer's connections."""
 
-    def __init__(self, clock: Clock, deadlines: Deadlines, interval_ms: float, chance: random.Random,
-                 ask: Callable[[], None], close: Callable[[], None],
-                 changed: Callable[[Watch, Watch], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        deadlines: Deadlines,
+        interval_ms: float,
+        chance: random.Random,
+        ask: Callable[[], None],
+        close: Callable[[], None],
+        changed: Callable[[Watch, Watch], None],
+    ) -> None:
         self.clock, self.deadlines, self.interval_ms, self.chance = clock, deadlines, interval_ms, chance
         self.ask, self.close, self.changed = ask, close, changed
         self.state = Watch.INITIAL
--- a/frostport/durability.py
+++ b/frostport/durability.py
@@ -47,8 +47,13 @@
 class Durability:
     """The store as a part of the agent."""
 
-    def __init__(self, config: StoreConfig, engine: Engine, worker: Worker | None = None,
-                 handover: Handover | None = None) -> None:
+    def __init__(
+        self,
+        config: StoreConfig,
+        engine: Engine,
+        worker: Worker | None = None,
+        handover: Handover | None = None,
+    ) -> None:
         self.config, self.engine, self.worker, self.handover = config, engine, worker, handover
         self.found = handover.known() if handover is not None else engine.take_recovered()
         self.restored = Restored()
@@ -57,13 +62,19 @@
         self.recorder: StoreRecorder | None = None
 
     @classmethod
-    def open(cls, config: StoreConfig, folder: Folder | None = None,
-             worker: Worker | None = None, upgrade: bool = False) -> Durability:
+    def open(
+        cls,
+        config: StoreConfig,
+        folder: Folder | None = None,
+        worker: Worker | None = None,
+        upgrade: bool = False,
+    ) -> Durability:
         """Recovers the store. Raises StoreError: one line that names file and offset.
 
         On an `upgrade` another process may still write it, and hands it over."""
-        limits = Limits(config.segment_bytes, config.record_bytes, config.store_bytes,
-                        config.checkpoint_records)
+        limits = Limits(
+            config.segment_bytes, config.record_bytes, config.store_bytes, config.checkpoint_records
+        )
         try:
             if folder is not None:
                 return cls(config, Engine.open(folder, limits), worker)
@@ -94,8 +105,14 @@
             raise StoreError(f"{self.config.path}: record {problem}") from None
         worker = self.worker or ThreadWorker(agent.reactor.callFromThread)
         self.committer = Committer(
-            self.engine, worker, agent.clock, agent.deadlines, committer.Durability(self.config.durability),
-            self.config.interval_ms, self.config.stall_ms)
+            self.engine,
+            worker,
+            agent.clock,
+            agent.deadlines,
+            committer.Durability(self.config.durability),
+            self.config.interval_ms,
+            self.config.stall_ms,
+        )
         self.recorder = StoreRecorder(self.committer, agent.clock, Trouble(self.config.on_failure))
         self.recorder.room = self._has_room
         self.committer.changed = self._changed
@@ -108,8 +125,11 @@
         if self.recorder is not None:
             self.recorder.trusted = state is committer.State.OPEN
         if state is not committer.State.OPEN:
-            doing = "new calls are refused" if self.config.on_failure == "refuse" \
+            doing = (
+                "new calls are refused"
+                if self.config.on_failure == "refuse"
                 else "GOING ON WITHOUT: a crash now forgets calls"
+            )
             log.error("store: %s: %s; %s", state.value, why, doing)
 
     def resume(self, agent: Joined) -> None:
@@ -117,8 +137,9 @@
         restored, broker = self.restored, agent.broker
         assert self.committer is not None and self.recorder is not None
         if restored.set_back_ms > 0.0:
-            log.warning("store: the clock has gone back by %.0f ms since the last record",
-                        restored.set_back_ms)
+            log.warning(
+                "store: the clock has gone back by %.0f ms since the last record", restored.set_back_ms
+            )
         self.committer.write([(key, None) for key in restored.dropped])
         for call, standing in restored.standing.items():
             stands(agent, call, standing)
@@ -140,8 +161,12 @@
         for request in agent.broker.requests:
             if request.attempt is not None and not agent.side.calls(request.attempt.server):
                 agent.broker.ended(request.attempt, Outcome.RESET)
-        log.info("store: %d calls stand, %d ids are known, %d releases owed", len(agent.broker.requests),
-                 len(agent.broker.ended_ids), len(self.restored.releases) + len(self.restored.owed))
+        log.info(
+            "store: %d calls stand, %d ids are known, %d releases owed",
+            len(agent.broker.requests),
+            len(agent.broker.ended_ids),
+            len(self.restored.releases) + len(self.restored.owed),
+        )
         self.restored = Restored()
 
     def stop(self) -> None:
@@ -154,11 +179,19 @@
         at = self.committer
         engine = at.engine if at is not None else self.engine
         return {
-            "state": at.state.value if at is not None else "joining", "failure": engine.failure,
-            "records": len(engine.places), "live_bytes": engine.live_bytes, "log_bytes": engine.total_bytes,
-            "segments": len(engine.segments), "sequence": engine.sequence, "synced": engine.synced,
-            "commits": at.commits if at is not None else 0, "changes": at.written if at is not None else 0,
-            "cleaned": engine.cleaned, "checkpoints": engine.checkpoints}
+            "state": at.state.value if at is not None else "joining",
+            "failure": engine.failure,
+            "records": len(engine.places),
+            "live_bytes": engine.live_bytes,
+            "log_bytes": engine.total_bytes,
+            "segments": len(engine.segments),
+            "sequence": engine.sequence,
+            "synced": engine.synced,
+            "commits": at.commits if at is not None else 0,
+            "changes": at.written if at is not None else 0,
+            "cleaned": engine.cleaned,
+            "checkpoints": engine.checkpoints,
+        }
 
 
 def adopt(agent: Joined, call: str, standing: records.Standing) -> None:
@@ -169,8 +202,18 @@
 
 def stands(agent: Joined, call: str, standing: records.Standing) -> None:
     """A call that stands from before the restart: it has no connection."""
-    request = Request(call, standing.service, "", "", standing.at, agent.side.front, -1,
-                      standing.team, client=standing.client, identity=standing.identity)
+    request = Request(
+        call,
+        standing.service,
+        "",
+        "",
+        standing.at,
+        agent.side.front,
+        -1,
+        standing.team,
+        client=standing.client,
+        identity=standing.identity,
+    )
     request.state, request.stood_at, request.answer = State.STANDING, standing.at, "stands"
     request.given, request.attempts = recovery.given(standing), 1
     request.attempt = Attempt(request, 0, standing.server, standing.at, standing.at, out=False)
--- a/frostport/fleet.py
+++ b/frostport/fleet.py
@@ -59,8 +59,9 @@
 class Fleet:
     """Built from its configuration; `start`, `stop`, `snapshot`."""
 
-    def __init__(self, config: FleetConfig, reactor: Any, version: str, follows: bool,
-                 refused: Callable[[str], None]) -> None:
+    def __init__(
+        self, config: FleetConfig, reactor: Any, version: str, follows: bool, refused: Callable[[str], None]
+    ) -> None:
         """`follows`: an upgrade; `refused`: another process of this name is alive. Raises StoreError."""
         self.config, self.reactor, self.refused = config, reactor, refused
         self.clock, self.deadlines = MonotonicClock(), Deadlines()
@@ -78,10 +79,12 @@
         self.whole = WHOLE in recovered  # its log has once been read as far as the leader's
         found = {key: value for key, value in recovered.items() if key.startswith("raft/")}
         try:
-            disk = msgspec.msgpack.decode(found[META], type=Meta).disk if META in found \
-                else secrets.randbits(60)
-            self.raft = Raft(config.agent, disk, config.voters, RaftSettings(), chance, found,
-                             self.clock.now())
+            disk = (
+                msgspec.msgpack.decode(found[META], type=Meta).disk if META in found else secrets.randbits(60)
+            )
+            self.raft = Raft(
+                config.agent, disk, config.voters, RaftSettings(), chance, found, self.clock.now()
+            )
             self.machine = Machine()
             self.work = Work(self, found)
             self.applying = Applying(self.machine, self.raft.log.base.index, self.raft.log.snapshot)
@@ -91,8 +94,17 @@
         self.first_records = [] if META in found else [(META, _encoder.encode(Meta(0, "", disk)))]
         self.record: Record = FileRecord(config.record, self._stamp) if config.record else NoRecord()
         self.gossip = Gossip(Seal(config.fleet, config.key), self._heard, self.clock, config.routes)
-        self.link = Link(config.fleet, config.agent, incarnation, self.clock, self.deadlines, self._connect,
-                         self._address, self._frame, chance)
+        self.link = Link(
+            config.fleet,
+            config.agent,
+            incarnation,
+            self.clock,
+            self.deadlines,
+            self._connect,
+            self._address,
+            self._frame,
+            chance,
+        )
         self.committer: Committer
         self.unsure: list[agreed.Output] = []  # what rests on records that a failing disk may not have
         self.number = 0
@@ -107,16 +119,16 @@
 
     def start(self) -> None:
         """Opens its addresses. Raises what binding raises."""
-        self.committer = Committer(self.engine, ThreadWorker(self.reactor.callFromThread), self.clock,
-                                   self.deadlines)
+        self.committer = Committer(
+            self.engine, ThreadWorker(self.reactor.callFromThread), self.clock, self.deadlines
+        )
         self.committer.changed = self._store_changed
         self.committer.write(self.first_records)
         host, port = split(self.config.gossip)
         self.ports.append(self.reactor.listenUDP(port, self.gossip, interface=host))
         host, port = split(self.config.link)
         self.ports.append(self.reactor.listenTCP(port, self.link, interface=host))
-        self.record.event("started", voter=self.raft.voter(),
-                          last=self.raft.log.last_index)
+        self.record.event("started", voter=self.raft.voter(), last=self.raft.log.last_index)
         self._swim(seen.Started())
         self._raft_wait()
         self.work.start()
@@ -137,16 +149,32 @@
         self._swim(seen.Changed(msgspec.structs.replace(self.swim.info, phase=phase)))
 
     def snapshot(self) -> dict[str, Any]:
-        return {"membership": self.swim.snapshot(), "agreed": self.raft.snapshot(),
-                "applied": self.machine.count, "digest": self.machine.digest,
-                "gossip": {"sent": self.gossip.sent, "received": self.gossip.received,
-                           "bytes": self.gossip.sent_bytes, "refused": self.gossip.refused},
-                "link": {"open": len(self.link.by_name), "bytes": self.link.sent_bytes,
-                         "refused": self.link.refused}}
+        return {
+            "membership": self.swim.snapshot(),
+            "agreed": self.raft.snapshot(),
+            "applied": self.machine.count,
+            "digest": self.machine.digest,
+            "gossip": {
+                "sent": self.gossip.sent,
+                "received": self.gossip.received,
+                "bytes": self.gossip.sent_bytes,
+                "refused": self.gossip.refused,
+            },
+            "link": {
+                "open": len(self.link.by_name),
+                "bytes": self.link.sent_bytes,
+                "refused": self.link.refused,
+            },
+        }
 
     def _stamp(self) -> dict[str, Any]:
-        return {"agent": self.config.agent, "incarnation": self.swim.incarnation, "term": self.raft.term,
-                "mono_ms": round(self.clock.now(), 1), "unix_ms": round(time.time() * 1000.0)}
+        return {
+            "agent": self.config.agent,
+            "incarnation": self.swim.incarnation,
+            "term": self.raft.term,
+            "mono_ms": round(self.clock.now(), 1),
+            "unix_ms": round(time.time() * 1000.0),
+        }
 
     def _timer(self, name: str, at: float, do: Callable[[], None]) -> None:
         if (before := self._timers.pop(name, None)) is not None:
@@ -167,12 +195,20 @@
                 case seen.Exchange():
                     self.link.send(action.name, VIEW, _encoder.encode(self.swim.view()))
                 case seen.Told():
-                    self.record.event("member", member=action.name, state=action.state.name.lower(),
-                                      of=action.incarnation, phase=action.info.phase)
+                    self.record.event(
+                        "member",
+                        member=action.name,
+                        state=action.state.name.lower(),
+                        of=action.incarnation,
+                        phase=action.info.phase,
+                    )
                     for watcher in self.watchers:
                         watcher()
-                    self._raft(agreed.Members(tuple(
-                        [self.config.agent, *(member.name for member in self.swim.table.here())])))
+                    self._raft(
+                        agreed.Members(
+                            tuple([self.config.agent, *(member.name for member in self.swim.table.here())])
+                        )
+                    )
                 case seen.Moved():
                     log.warning("fleet: %s: %s", action.phase.value, action.why)
                     self.record.event("moved", phase=action.phase.value, why=action.why)
@@ -300,30 +336,50 @@
     # The door
 
     def operations(self) -> Mapping[str, Operation]:
-        return {"members": self._members, "agreed": self._agreed, "agreed-log": self._log, "note": self._note,
-                "add-voter": self._add_voter, "remove-voter": self._remove_voter, **self.work.operations()}
+        return {
+            "members": self._members,
+            "agreed": self._agreed,
+            "agreed-log": self._log,
+            "note": self._note,
+            "add-voter": self._add_voter,
+            "remove-voter": self._remove_voter,
+            **self.work.operations(),
+        }
 
     def _members(self, _: str) -> list[str]:
         swim = self.swim
         own = f"{swim.name} {swim.phase.value} incarnation={swim.incarnation} health={swim.health}"
-        return [f"OK {swim.table.size()} members; here {own}", *(
-            f"{member.name} {member.state.name.lower()} incarnation={member.incarnation} "
-            f"zone={member.info.zone or '-'} phase={member.info.phase or '-'} link={member.info.link}"
-            for member in sorted(swim.table, key=lambda member: member.name)), "END"]
+        return [
+            f"OK {swim.table.size()} members; here {own}",
+            *(
+                f"{member.name} {member.state.name.lower()} incarnation={member.incarnation} "
+                f"zone={member.info.zone or '-'} phase={member.info.phase or '-'} link={member.info.link}"
+                for member in sorted(swim.table, key=lambda member: member.name)
+            ),
+            "END",
+        ]
 
     def _agreed(self, _: str) -> list[str]:
         told = self.raft.snapshot()
-        return [f"OK term={told['term']} leader={told['leader'] or '-'} role={told['role']} "
-                f"voter={'yes' if told['voter'] else 'no'} index={self.applying.index} "
-                f"lag={self.raft.log.last_index - self.applying.index} count={self.machine.count} "
-                f"digest={self.machine.digest or '-'} voters={','.join(self.raft.voters) or '-'}",
-                *([f"HELD {self.applying.held}"] if self.applying.held else [])]
+        return [
+            f"OK term={told['term']} leader={told['leader'] or '-'} role={told['role']} "
+            f"voter={'yes' if told['voter'] else 'no'} index={self.applying.index} "
+            f"lag={self.raft.log.last_index - self.applying.index} count={self.machine.count} "
+            f"digest={self.machine.digest or '-'} voters={','.join(self.raft.voters) or '-'}",
+            *([f"HELD {self.applying.held}"] if self.applying.held else []),
+        ]
 
     def _log(self, rest: str) -> list[str]:
         count = int(rest) if rest.strip().isdecimal() else 20
-        return ["OK", *(f"{entry.index} term={entry.term} {entry.kind or '-'} {entry.id or '-'}"
-                        for entry in self.raft.log.entries[-min(count, 1000):]
-                        if entry.index <= self.applying.index), "END"]
+        return [
+            "OK",
+            *(
+                f"{entry.index} term={entry.term} {entry.kind or '-'} {entry.id or '-'}"
+                for entry in self.raft.log.entries[-min(count, 1000) :]
+                if entry.index <= self.applying.index
+            ),
+            "END",
+        ]
 
     def _note(self, rest: str) -> list[str]:
         if not rest.strip():
--- a/frostport/handover.py
+++ b/frostport/handover.py
@@ -244,7 +244,8 @@
         for key, value in left.items():
             call = records.split(key)[1].rpartition(records.BETWEEN)[2]
             if key.startswith((records.OWED, records.RELEASE)) or (
-                    key.startswith(CALL) and (call in self.there or call not in broker.by_id)):
+                key.startswith(CALL) and (call in self.there or call not in broker.by_id)
+            ):
                 theirs[key] = value
         restored = recovery.restore(theirs, now, agent.rules.settings.release_guard_ms)
         for call, over in restored.over.items():
@@ -263,5 +264,8 @@
         assert self.durability.recorder is not None
         self.durability.recorder.taken_over()
         self._go_on()
-        log.info("store: taken over: %d calls stand, %d releases owed", len(broker.requests),
-                 len(restored.releases) + len(restored.owed))
+        log.info(
+            "store: taken over: %d calls stand, %d releases owed",
+            len(broker.requests),
+            len(restored.releases) + len(restored.owed),
+        )
--- a/frostport/interface.py
+++ b/frostport/interface.py
@@ -302,13 +302,5 @@
 
 
 Action = (
-    SendAttempt
-    | CancelAttempt
-    | RefuseCall
-    | FailCall
-    | SetTimer
-    | Probe
-    | TellPeer
-    | Subscribe
-    | WriteLog
+    SendAttempt | CancelAttempt | RefuseCall | FailCall | SetTimer | Probe | TellPeer | Subscribe | WriteLog
 )
--- a/frostport/maintenance/asking.py
+++ b/frostport/maintenance/asking.py
@@ -35,7 +35,7 @@
         if not sign or name not in known or not value:
             raise BadWordsError(f"not one of {', '.join(f'{each}=...' for each in known)}: {word[:30]!r}")
         if name == "why":
-            found[name] = " ".join([value, *words[number + 1:]])
+            found[name] = " ".join([value, *words[number + 1 :]])
             return found
         found[name] = value
     return found
@@ -52,8 +52,15 @@
             raise BadWordsError(f"{needed}= is needed")
     if told.get("urgent", "no") not in ("yes", "no"):
         raise BadWordsError("urgent: yes or no")
-    return Request(names, told.get("zone", ""), told["why"], told["who"], span("takes", told["takes"]),
-                   told.get("urgent") == "yes", span("within", told["within"]) if "within" in told else 0.0)
+    return Request(
+        names,
+        told.get("zone", ""),
+        told["why"],
+        told["who"],
+        span("takes", told["takes"]),
+        told.get("urgent") == "yes",
+        span("within", told["within"]) if "within" in told else 0.0,
+    )
 
 
 def word(what: str, rest: str, plan: Plan) -> Word:
@@ -105,9 +112,11 @@
 def status(plan: Plan) -> list[str]:
     """The plan in lines; each ticket that has not ended says what it waits for."""
     at = plan.limits
-    lines = [f"limits all={at.all} agents={at.agents} servers={at.servers} zone={at.zone} "
-             f"agent_calls={at.agent_calls:g} share_calls={at.share_calls:g} margin={at.margin:g} "
-             f"warm_ms={at.warm_ms:g} overtakes={at.overtakes} drain_ms={at.drain_ms:g}"]
+    lines = [
+        f"limits all={at.all} agents={at.agents} servers={at.servers} zone={at.zone} "
+        f"agent_calls={at.agent_calls:g} share_calls={at.share_calls:g} margin={at.margin:g} "
+        f"warm_ms={at.warm_ms:g} overtakes={at.overtakes} drain_ms={at.drain_ms:g}"
+    ]
     if plan.held:
         lines.append(f"held by {plan.held}")
     unasked = [name for name in plan.out() if plan.ticket(name) is None]
@@ -117,8 +126,10 @@
     for ticket in plan.tickets:
         place = f" place={waiting[ticket.number]}" if ticket.number in waiting else ""
         late = " late" if plan.late(ticket) else ""
-        lines.append(f"{ticket.number} {ticket.name} {ticket.kind or '-'} {ticket.state.value}{place}{late}"
-                     f"{' urgent' if ticket.urgent else ''}: {plan.why(ticket)} "
-                     f"({ticket.who}: {ticket.reason})")
+        lines.append(
+            f"{ticket.number} {ticket.name} {ticket.kind or '-'} {ticket.state.value}{place}{late}"
+            f"{' urgent' if ticket.urgent else ''}: {plan.why(ticket)} "
+            f"({ticket.who}: {ticket.reason})"
+        )
     load = sum(max(0.0, each.calls) for each in plan.machines.values() if each.kind == AGENT)
     return [*lines, f"load {load:.1f} calls a second"]
--- a/frostport/maintenance/keeper.py
+++ b/frostport/maintenance/keeper.py
@@ -98,8 +98,9 @@
     `remembers`: its disk still holds all that this agent has ever confirmed. One that has lost it takes no
     calls before it has read the log."""
 
-    def __init__(self, name: str, life: int, now_ms: float, remembers: bool,
-                 limits: Limits | None = None) -> None:
+    def __init__(
+        self, name: str, life: int, now_ms: float, remembers: bool, limits: Limits | None = None
+    ) -> None:
         """`limits`: those of the configuration, for a plan that has none yet."""
         self.limits = limits
         self.name, self.life, self.began, self.remembers = name, life, now_ms, remembers
@@ -145,12 +146,17 @@
                 self.drained_by, self.drained_at = ticket.number, now
                 if local.phase == "serving":
                     out.append(Drain())
-            elif local.phase == "drained" \
-                    or (local.phase == "draining" and now - self.drained_at >= plan.limits.drain_ms):
+            elif local.phase == "drained" or (
+                local.phase == "draining" and now - self.drained_at >= plan.limits.drain_ms
+            ):
                 # Guards against a client that never pauses, and one that comes once it may be touched.
                 out.append(TurnAway())
-            if ticket.state is State.GOING and local.phase == "turning away" and local.empty \
-                    and ticket.done.get(self.name) != self.life:
+            if (
+                ticket.state is State.GOING
+                and local.phase == "turning away"
+                and local.empty
+                and ticket.done.get(self.name) != self.life
+            ):
                 self._say(("done", self.name), Done(self.name, self.life, self.name, ticket.step), now, out)
         elif self.drained_by:
             self.drained_by = 0
@@ -168,8 +174,13 @@
             if server not in self.holding:
                 self.holding.add(server)
                 out.append(HoldOut(server))
-            elif ticket.state is State.GOING and not local.busy.get(server) and server not in local.fresh \
-                    and ticket.done.get(self.name) != self.life and self.serving:
+            elif (
+                ticket.state is State.GOING
+                and not local.busy.get(server)
+                and server not in local.fresh
+                and ticket.done.get(self.name) != self.life
+                and self.serving
+            ):
                 self._say(("done", server), Done(self.name, self.life, server, ticket.step), now, out)
 
     # Its load
@@ -178,11 +189,16 @@
         mine = plan.machines.get(self.name)
         if mine is None or mine.life != self.life or local.phase != "serving":
             return
-        told = Load(self.name, self.life, round(local.calls, 1),
-                    tuple(sorted(local.unreached - self.holding)))
+        told = Load(
+            self.name, self.life, round(local.calls, 1), tuple(sorted(local.unreached - self.holding))
+        )
         last = self._load
-        changed = last is None or mine.calls < 0.0 or last.unreached != told.unreached \
+        changed = (
+            last is None
+            or mine.calls < 0.0
+            or last.unreached != told.unreached
             or abs(last.calls - told.calls) > max(1.0, LOAD_STEP * last.calls)
+        )
         if now - self._load_at >= (LOAD_CHANGED_MS if changed and last is not None else LOAD_MS):
             self._load, self._load_at = told, now
             out.append(Say(told))
@@ -196,18 +212,35 @@
             known = plan.machines.get(name)
             word = Seen(name, member.zone, member.life, member.up, member.gone, member.voter)
             if known is None or (known.zone, known.life, known.up, known.gone, known.voter) != (
-                    word.zone, word.life, word.up, word.gone, word.voter):
+                word.zone,
+                word.life,
+                word.up,
+                word.gone,
+                word.voter,
+            ):
                 self._say(("seen", name), word, now, out)
-        told = {name: Server(machine.name, machine.zone, machine.share, machine.up)
-                for name, machine in plan.machines.items() if machine.kind == SERVER}
+        told = {
+            name: Server(machine.name, machine.zone, machine.share, machine.up)
+            for name, machine in plan.machines.items()
+            if machine.kind == SERVER
+        }
         for name, machine in plan.machines.items():
             # Forgotten by the membership: who was not heard to leave stays, and is waited for by name.
             if machine.kind == AGENT and name not in local.members and machine.up:
-                self._say(("seen", name), Seen(name, machine.zone, machine.life, False, False,
-                                               machine.voter), now, out)
-        gone = {name for name, ticket in ((ticket.name, ticket) for ticket in plan.tickets)
-                if ticket.state not in ENDED and name in told and name not in local.servers
-                and not told[name].ready}
+                self._say(
+                    ("seen", name),
+                    Seen(name, machine.zone, machine.life, False, False, machine.voter),
+                    now,
+                    out,
+                )
+        gone = {
+            name
+            for name, ticket in ((ticket.name, ticket) for ticket in plan.tickets)
+            if ticket.state not in ENDED
+            and name in told
+            and name not in local.servers
+            and not told[name].ready
+        }
         if {name: server for name, server in told.items() if name not in gone} != dict(local.servers):
             servers = tuple(server for _, server in sorted(local.servers.items()))
             self._say("listed", Listed(servers), now, out)
--- a/frostport/maintenance/plan.py
+++ b/frostport/maintenance/plan.py
@@ -115,8 +115,17 @@
     # The state as bytes
 
     def save(self) -> bytes:
-        return msgspec.msgpack.encode(Saved(self.now, self.limits, self.held, list(self.machines.values()),
-                                            self.tickets, self.number, self.limited))
+        return msgspec.msgpack.encode(
+            Saved(
+                self.now,
+                self.limits,
+                self.held,
+                list(self.machines.values()),
+                self.tickets,
+                self.number,
+                self.limited,
+            )
+        )
 
     def restore(self, data: bytes) -> None:
         saved = msgspec.msgpack.decode(data, type=Saved)
@@ -149,8 +158,13 @@
             case Done():
                 ticket = self.ticket(word.machine)
                 machine = self.machines.get(word.agent)
-                if ticket is not None and ticket.state is State.GOING and ticket.step == word.step \
-                        and machine is not None and machine.life == word.life:
+                if (
+                    ticket is not None
+                    and ticket.state is State.GOING
+                    and ticket.step == word.step
+                    and machine is not None
+                    and machine.life == word.life
+                ):
                     ticket.done[word.agent] = word.life
             case Tick():
                 if word.term == term:  # one of an earlier leader, sent on: that time is counted already
@@ -163,14 +177,28 @@
 
     def _request(self, index: int, word: Request) -> None:
         names = list(dict.fromkeys(word.names))
-        names += [name for name, machine in sorted(self.machines.items())
-                  if word.zone and machine.zone == word.zone and name not in names and not machine.gone]
+        names += [
+            name
+            for name, machine in sorted(self.machines.items())
+            if word.zone and machine.zone == word.zone and name not in names and not machine.gone
+        ]
         for name in names:
             self.number += 1
             machine = self.machines.get(name)
             kind = machine.kind if machine is not None else ""
-            ticket = Ticket(self.number, index, name, kind, word.urgent, word.takes_ms, word.reason, word.who,
-                            self.now + word.within_ms if word.within_ms else 0.0, since=self.now, done={})
+            ticket = Ticket(
+                self.number,
+                index,
+                name,
+                kind,
+                word.urgent,
+                word.takes_ms,
+                word.reason,
+                word.who,
+                self.now + word.within_ms if word.within_ms else 0.0,
+                since=self.now,
+                done={},
+            )
             if machine is None:
                 ticket.state, ticket.note = State.REFUSED, "no machine of that name is known"
             elif (other := self.ticket(name)) is not None:
@@ -212,8 +240,11 @@
 
     def _listed(self, word: Listed) -> None:
         told = {server.name: server for server in word.servers}
-        for name in [name for name, machine in self.machines.items()
-                     if machine.kind == SERVER and name not in told and self.ticket(name) is None]:
+        for name in [
+            name
+            for name, machine in self.machines.items()
+            if machine.kind == SERVER and name not in told and self.ticket(name) is None
+        ]:
             del self.machines[name]
         for machine in self.machines.values():
             if machine.kind == SERVER and machine.name not in told:
@@ -238,8 +269,11 @@
                 self._enter(ticket, State.OUT)
             elif ticket.state is State.BACK and self._returned(ticket):
                 self._enter(ticket, State.WARMING)
-            elif ticket.state is State.WARMING and not ticket.fresh \
-                    and self.now - ticket.since >= self.limits.warm_ms:
+            elif (
+                ticket.state is State.WARMING
+                and not ticket.fresh
+                and self.now - ticket.since >= self.limits.warm_ms
+            ):
                 self._enter(ticket, State.DONE)
         while (first := self._next()) is not None:
             first.step, first.done = index, {}
@@ -273,14 +307,18 @@
         return self._by_name.get(name)
 
     def order(self) -> list[Ticket]:
-        return sorted((ticket for ticket in self.tickets if ticket.state is State.WAITING),
-                      key=lambda ticket: (ticket.passed < self.limits.overtakes, not ticket.urgent,
-                                          ticket.number))
+        return sorted(
+            (ticket for ticket in self.tickets if ticket.state is State.WAITING),
+            key=lambda ticket: (ticket.passed < self.limits.overtakes, not ticket.urgent, ticket.number),
+        )
 
     def held_out(self, kind: str = SERVER) -> dict[str, Ticket]:
         """Machines that nothing new may go to, with their tickets."""
-        return {name: ticket for name, ticket in self._by_name.items()
-                if ticket.kind == kind and ticket.state in HELD_OUT}
+        return {
+            name: ticket
+            for name, ticket in self._by_name.items()
+            if ticket.kind == kind and ticket.state in HELD_OUT
+        }
 
     def overdue(self, ticket: Ticket) -> bool:
         return ticket.state is State.OUT and self.now - ticket.since > ticket.takes_ms
@@ -296,8 +334,11 @@
         return self._reached(machine, self._told())
 
     def _told(self) -> list[Machine]:
-        return [agent for agent in self.machines.values()
-                if agent.kind == AGENT and agent.up and not agent.gone and agent.calls >= 0.0]
+        return [
+            agent
+            for agent in self.machines.values()
+            if agent.kind == AGENT and agent.up and not agent.gone and agent.calls >= 0.0
+        ]
 
     def _reached(self, server: Machine, told: list[Machine]) -> bool:
         return 2 * sum(server.name in agent.unreached for agent in told) < max(1, len(told))
@@ -306,16 +347,25 @@
         """All that is out, by the plan or unasked. Agents that have left count only by a ticket."""
         away = {name for name, ticket in self._by_name.items() if ticket.state in AWAY}
         told = self._told()
-        silent = {machine.name for machine in self.machines.values()
-                  if machine.kind == SERVER and not self._reached(machine, told)}
-        return {name: machine for name, machine in self.machines.items()
-                if name in away or name in silent or not (machine.gone or machine.up)}
+        silent = {
+            machine.name
+            for machine in self.machines.values()
+            if machine.kind == SERVER and not self._reached(machine, told)
+        }
+        return {
+            name: machine
+            for name, machine in self.machines.items()
+            if name in away or name in silent or not (machine.gone or machine.up)
+        }
 
     def share(self) -> float:
         """How much of the fleet's budgets each agent that is up has, times its own: those that are out leave
         theirs to it. By the log, so that one that is cut off takes nothing."""
-        agents = [each for each in self.machines.values() if each.kind == AGENT
-                  and (not each.gone or self.ticket(each.name) is not None)]
+        agents = [
+            each
+            for each in self.machines.values()
+            if each.kind == AGENT and (not each.gone or self.ticket(each.name) is not None)
+        ]
         return len(agents) / max(1, sum(self.up(each) for each in agents))
 
     def waits_for(self, ticket: Ticket) -> list[str]:
@@ -324,9 +374,14 @@
             machine = self.machines.get(ticket.name)
             said = machine is not None and (machine.gone or ticket.done.get(ticket.name) == machine.life)
             return [] if said else [ticket.name]
-        return [name for name, machine in sorted(self.machines.items())
-                if machine.kind == AGENT and not machine.gone and ticket.done.get(name) != machine.life
-                and not self._drained(name)]
+        return [
+            name
+            for name, machine in sorted(self.machines.items())
+            if machine.kind == AGENT
+            and not machine.gone
+            and ticket.done.get(name) != machine.life
+            and not self._drained(name)
+        ]
 
     def _drained(self, name: str) -> bool:
         """An agent that is out by its own ticket and has not come back holds nothing."""
@@ -344,8 +399,11 @@
         late = next((each for each in self._by_name.values() if self.overdue(each)), None)
         if late is not None:
             return f"held: {late.name} overdue"
-        out = {name: each for name, each in (self.out() if known is None else known).items()
-               if name != ticket.name}
+        out = {
+            name: each
+            for name, each in (self.out() if known is None else known).items()
+            if name != ticket.name
+        }
         kind = [each for each in out.values() if each.kind == machine.kind]
         most = limits.agents if machine.kind == AGENT else limits.servers
         if (other := next((each for each in out.values() if each.zone != machine.zone), None)) is not None:
@@ -364,15 +422,21 @@
 
     def _too_little_left(self, machine: Machine, out: dict[str, Machine]) -> str:
         limits = self.limits
-        left = [each for name, each in self.machines.items()
-                if each.kind == machine.kind and not each.gone and name not in out and name != machine.name]
+        left = [
+            each
+            for name, each in self.machines.items()
+            if each.kind == machine.kind and not each.gone and name not in out and name != machine.name
+        ]
         if not left:
             return f"no other {machine.kind} is left"
         agents = [each for each in self.machines.values() if each.kind == AGENT and not each.gone]
         quiet = [each.name for each in agents if each.calls < 0.0 and self.up(each)]
         needed = sum(max(0.0, each.calls) for each in agents) * (1.0 + limits.margin)
-        carried = len(left) * limits.agent_calls if machine.kind == AGENT \
+        carried = (
+            len(left) * limits.agent_calls
+            if machine.kind == AGENT
             else sum(each.share for each in left) * limits.share_calls
+        )
         if carried > 0.0 and quiet:
             return f"the load of {named(quiet)} is not known"
         if 0.0 < carried < needed:
@@ -389,8 +453,11 @@
                     reason = f"ticket {first.number} has been passed {first.passed} times, and goes first"
                 return reason or "its turn"
             case State.GOING:
-                silent = [name for name in self.waits_for(ticket) if not self.up(self.machines[name])] \
-                    if ticket.kind == SERVER else []
+                silent = (
+                    [name for name in self.waits_for(ticket) if not self.up(self.machines[name])]
+                    if ticket.kind == SERVER
+                    else []
+                )
                 waits = f"waits for {named(self.waits_for(ticket))}"
                 return f"{waits}; not heard: {named(silent)}" if silent else waits
             case State.OUT if self.overdue(ticket):
@@ -407,8 +474,11 @@
 
     def next_due(self) -> float:
         """When, in plan time, something comes of time alone; infinite: never."""
-        at = [ticket.since + (self.limits.warm_ms if ticket.state is State.WARMING else ticket.takes_ms)
-              for ticket in self._by_name.values() if ticket.state in (State.WARMING, State.OUT)]
+        at = [
+            ticket.since + (self.limits.warm_ms if ticket.state is State.WARMING else ticket.takes_ms)
+            for ticket in self._by_name.values()
+            if ticket.state in (State.WARMING, State.OUT)
+        ]
         at += [self.now for ticket in self._by_name.values() if ticket.fresh]
         at += [ticket.due_at for ticket in self._by_name.values() if ticket.due_at]
         return min((each for each in at if each >= self.now), default=float("inf"))
--- a/frostport/membership/joining.py
+++ b/frostport/membership/joining.py
@@ -60,8 +60,9 @@
     def _send(self, address: str, message: Message) -> None:
         raise NotImplementedError
 
-    def _gossip(self, address: str, message: Ping | Ack | PingReq | Nack | Gossip,
-                to: Member | None = None) -> None:
+    def _gossip(
+        self, address: str, message: Ping | Ack | PingReq | Nack | Gossip, to: Member | None = None
+    ) -> None:
         raise NotImplementedError
 
     def _enter(self, phase: Phase, why: str) -> None:
@@ -91,11 +92,17 @@
                 self._send(address, Refused(self.name, join.info.life, self.info.address))
             return
         known = self.table.members.get(join.sender)
-        if known is None or known.state >= State.DEAD or join.follows \
-                or known.info.life == join.info.life or known.info.address == join.info.address:
+        if (
+            known is None
+            or known.state >= State.DEAD
+            or join.follows
+            or known.info.life == join.info.life
+            or known.info.address == join.info.address
+        ):
             self._take(address, join, now)
         elif len(self.claims) < CLAIMS_MOST and all(
-                claim.join.info.life != join.info.life for claim in self.claims.values()):
+            claim.join.info.life != join.info.life for claim in self.claims.values()
+        ):
             # A living process may have this name: it is asked before another one gets it.
             self._number += 1
             self.claims[self._number] = Claim(address, join, now + self.slow(self.settings.timeout_ms))
--- a/frostport/membership/messages.py
+++ b/frostport/membership/messages.py
@@ -140,8 +140,11 @@
 
 def check_info(info: Info) -> None:
     texts = (info.zone, info.phase, info.version, info.link)
-    if not 0 <= info.life < WHOLE_MOST or not info.address or any(
-            len(text.encode()) > TEXT_MOST for text in (info.address, *texts)):
+    if (
+        not 0 <= info.life < WHOLE_MOST
+        or not info.address
+        or any(len(text.encode()) > TEXT_MOST for text in (info.address, *texts))
+    ):
         raise BadMessageError("info out of range")
 
 
--- a/frostport/membership/swim.py
+++ b/frostport/membership/swim.py
@@ -60,8 +60,16 @@
 class Swim(Joining):
     """One agent's part."""
 
-    def __init__(self, name: str, info: Info, incarnation: int, seeds: Iterable[str], settings: Settings,
-                 chance: random.Random, follows: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        info: Info,
+        incarnation: int,
+        seeds: Iterable[str],
+        settings: Settings,
+        chance: random.Random,
+        follows: bool = False,
+    ) -> None:
         """`incarnation`: the milliseconds of Unix time at the start; `seeds`: addresses to join by;
         `follows`: an older process of this name may still answer."""
         self.name, self.info, self.incarnation, self.follows = name, info, incarnation, follows
@@ -119,8 +127,10 @@
 
     def view(self) -> tuple[Update, ...]:
         """All that is known, oneself first: for an exchange over the link."""
-        return (self._self(), *(Update(member.name, member.incarnation, member.state, member.info)
-                                for member in self.table))
+        return (
+            self._self(),
+            *(Update(member.name, member.incarnation, member.state, member.info) for member in self.table),
+        )
 
     def slow(self, ms: float) -> float:
         """A wait, by the local health."""
@@ -140,7 +150,7 @@
         gone = Update(self.name, self.incarnation, State.LEFT)
         here = self.table.here()
         self.chance.shuffle(here)
-        for member in here[:self.settings.copies(self.table.size())]:
+        for member in here[: self.settings.copies(self.table.size())]:
             self._number += 1
             self._send(member.info.address, Ping(self.name, self._number, member.name, (gone,)))
         self._enter(Phase.LEFT, "it leaves")
@@ -235,12 +245,14 @@
         member = self.table.members.get(probe.name)
         if member is None:
             return
-        others = [other for other in self.table
-                  if other.state is State.ALIVE and other.name != probe.name]
+        others = [other for other in self.table if other.state is State.ALIVE and other.name != probe.name]
         for helper in self.chance.sample(others, min(self.settings.helpers, len(others))):
             probe.asked += 1
-            self._gossip(helper.info.address,
-                         PingReq(self.name, probe.number, member.name, member.info.address), helper)
+            self._gossip(
+                helper.info.address,
+                PingReq(self.name, probe.number, member.name, member.info.address),
+                helper,
+            )
 
     def _go_round(self, now: float) -> None:
         """Passes words on to a few, apart from the probes: these slow down with the local health."""
@@ -278,8 +290,11 @@
             case Ping():
                 self._take_in(message.updates, now)
                 if message.target == self.name:
-                    self._gossip(address, Ack(self.name, message.number, self.info.life),
-                                 self.table.members.get(message.sender))
+                    self._gossip(
+                        address,
+                        Ack(self.name, message.number, self.info.life),
+                        self.table.members.get(message.sender),
+                    )
             case Ack():
                 self._take_in(message.updates, now)
                 self._answered(message)
@@ -323,8 +338,11 @@
             self._number += 1
             timeout = self.settings.timeout_ms
             self.relays[self._number] = Relay(address, message.number, now + 0.8 * timeout, now + 4 * timeout)
-            self._gossip(message.address, Ping(self.name, self._number, message.target),
-                         self.table.members.get(message.target))
+            self._gossip(
+                message.address,
+                Ping(self.name, self._number, message.target),
+                self.table.members.get(message.target),
+            )
 
     # The view
 
@@ -363,8 +381,12 @@
     def _apply(self, update: Update, now: float) -> None:
         """Takes a word in, and passes it on if it says something new."""
         before = self.table.members.get(update.name)
-        if before is not None and update.state is State.SUSPECT and before.state is State.SUSPECT \
-                and update.incarnation == before.incarnation:
+        if (
+            before is not None
+            and update.state is State.SUSPECT
+            and before.state is State.SUSPECT
+            and update.incarnation == before.incarnation
+        ):
             self._confirmed(before, update)
             return
         changed = self.table.apply(update, now)
@@ -377,8 +399,11 @@
 
     def _confirmed(self, member: Member, update: Update) -> None:
         """Another one suspects it too: its time is shorter, and the word goes on (Lifeguard, 4.2)."""
-        if update.by and update.by not in member.suspected_by \
-                and len(member.suspected_by) <= self.settings.confirmations:
+        if (
+            update.by
+            and update.by not in member.suspected_by
+            and len(member.suspected_by) <= self.settings.confirmations
+        ):
             member.suspected_by.add(update.by)
             self.rumours.add(member.update(update.by))
 
@@ -387,8 +412,9 @@
     def _send(self, address: str, message: Message) -> None:
         self._out.append(Send(address, message))
 
-    def _gossip(self, address: str, message: Ping | Ack | PingReq | Nack | Gossip,
-                to: Member | None = None) -> None:
+    def _gossip(
+        self, address: str, message: Ping | Ack | PingReq | Nack | Gossip, to: Member | None = None
+    ) -> None:
         """Sends with as many words as fit; who is thought suspect or dead hears that first."""
         first = None
         if to is not None and to.state in (State.SUSPECT, State.DEAD):
@@ -399,8 +425,19 @@
 
     def snapshot(self) -> dict[str, object]:
         """Plain data for the door and for records."""
-        return {"name": self.name, "incarnation": self.incarnation, "phase": self.phase.value,
-                "health": self.health, "stood_still_ms": round(self.stood_still_ms),
-                "members": [{"name": member.name, "incarnation": member.incarnation,
-                             "state": member.state.name.lower(), **msgspec.structs.asdict(member.info)}
-                            for member in sorted(self.table, key=lambda member: member.name)]}
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "phase": self.phase.value,
+            "health": self.health,
+            "stood_still_ms": round(self.stood_still_ms),
+            "members": [
+                {
+                    "name": member.name,
+                    "incarnation": member.incarnation,
+                    "state": member.state.name.lower(),
+                    **msgspec.structs.asdict(member.info),
+                }
+                for member in sorted(self.table, key=lambda member: member.name)
+            ],
+        }
--- a/frostport/membership/table.py
+++ b/frostport/membership/table.py
@@ -21,8 +21,9 @@
 
     def update(self, by: str = "") -> Update:
         """What is passed on of it."""
-        return Update(self.name, self.incarnation, self.state,
-                      self.info if self.state is State.ALIVE else None, by)
+        return Update(
+            self.name, self.incarnation, self.state, self.info if self.state is State.ALIVE else None, by
+        )
 
 
 def counts(update: Update, member: Member) -> bool:
@@ -58,7 +59,8 @@
                 # Guards against the dead that nobody forgets: who has forgotten one would hear of it again.
                 return None
             member = self.members[update.name] = Member(
-                update.name, update.incarnation, State.DEAD, update.info, now_ms)
+                update.name, update.incarnation, State.DEAD, update.info, now_ms
+            )
             self._enter(member, update.state, now_ms)
             return member
         if not counts(update, member):
@@ -80,8 +82,11 @@
 
     def forget(self, before_ms: float) -> list[Member]:
         """Removes who has been dead or gone since before a time."""
-        gone = [member for member in self.members.values()
-                if member.state >= State.DEAD and member.changed_at <= before_ms]
+        gone = [
+            member
+            for member in self.members.values()
+            if member.state >= State.DEAD and member.changed_at <= before_ms
+        ]
         for member in gone:
             del self.members[member.name]
         return gone
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -84,8 +84,12 @@
         self.broker.recorder.bus(offset, self.version)
 
     def _hand_on(self, kind: api.ListKind, version: int, entries: list[tuple[api.Server, str]]) -> None:
-        log.info("list %d, %s: %s", version, kind.value, ", ".join(
-            f"{server.address} {server.state.value}" for server, _ in entries))
+        log.info(
+            "list %d, %s: %s",
+            version,
+            kind.value,
+            ", ".join(f"{server.address} {server.state.value}" for server, _ in entries),
+        )
         for server, dial in entries:
             self.entries[server.address] = (server, dial)
             if server.state is not api.Lifecycle.GONE:
@@ -103,9 +107,14 @@
         entries = []
         for host in topology["hosts"]:
             server = api.Server(
-                str(host["host"]), int(host["block"]), api.Lifecycle(host["health"]),
-                str(host.get("site", "")), float(host.get("born_ms", 0.0)), float(host.get("share", 1.0)),
-                str(host.get("class", "")))
+                str(host["host"]),
+                int(host["block"]),
+                api.Lifecycle(host["health"]),
+                str(host.get("site", "")),
+                float(host.get("born_ms", 0.0)),
+                float(host.get("share", 1.0)),
+                str(host.get("class", "")),
+            )
             dial = str(host.get("dial", ""))
             if server.state is not api.Lifecycle.GONE and not DIAL.match(dial):
                 raise ValueError(f"dial: {dial!r}")
@@ -153,9 +162,13 @@
 class EventBus:
     """Keeps one connection to the event bus, and asks each new one for what came since the last event."""
 
-    def __init__(self, server_list: ServerList, address: str | None,
-                 connect: Callable[[str, BusConnection], defer.Deferred[object]],
-                 chance: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        server_list: ServerList,
+        address: str | None,
+        connect: Callable[[str, BusConnection], defer.Deferred[object]],
+        chance: random.Random | None = None,
+    ) -> None:
         self.chance = chance or random.Random(0)
         self.list, self.address, self.connect = server_list, address, connect
         self.clock, self.deadlines = server_list.broker.clock, server_list.broker.deadlines
--- a/frostport/net/connection_lag.py
+++ b/frostport/net/connection_lag.py
@@ -75,8 +75,12 @@
             return
         for connection in behind:
             if connection.behind_since <= now - SILENT_MS:
-                log.info("%s: connection %d has fallen silent, %.0f ms behind the others", self._server.host,
-                         connection.slot, now - connection.behind_since)
+                log.info(
+                    "%s: connection %d has fallen silent, %.0f ms behind the others",
+                    self._server.host,
+                    connection.slot,
+                    now - connection.behind_since,
+                )
                 connection.spoilt()
         lagging = [at.behind_since for at in self._server.connections if at.behind_since < math.inf]
         if lagging:
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -219,8 +219,14 @@
         """While the agent empties, closes once nothing is open or owed here and nothing waits to be read.
 
         Guards against losing a request: one that was read, or begun, is served first."""
-        if self.alive and self.spoke and not self.carries_calls() and not self.lines.partial \
-                and not self._waiting and self.front.lifecycle.emptying():
+        if (
+            self.alive
+            and self.spoke
+            and not self.carries_calls()
+            and not self.lines.partial
+            and not self._waiting
+            and self.front.lifecycle.emptying()
+        ):
             self.hang_up()
 
     def carries_calls(self) -> bool:
@@ -248,8 +254,7 @@
             self.transport.loseConnection()
             if self._limit is not None:
                 self._limit.cancel()
-            self._limit = self.deadlines.set(
-                self.clock.now() + LAST_WORDS_MS, self.transport.abortConnection)
+            self._limit = self.deadlines.set(self.clock.now() + LAST_WORDS_MS, self.transport.abortConnection)
 
 
 def set_up_figures(text: str, pools: Iterable[int] | None) -> dict[str, int]:
@@ -272,7 +277,8 @@
 def repeats(message: Message, given: Given, connection: ClientConnection) -> bool:
     """Whether a set-up is the very one that has been answered."""
     return message.blob is not None and given.repeats(
-        message.opts.get("class", ""), connection.host, message.blob.encode())
+        message.opts.get("class", ""), connection.host, message.blob.encode()
+    )
 
 
 class PlatformFront:
@@ -335,8 +341,12 @@
         """Whether a set-up of this id would begin a call: none is open, standing, ending or owed its end,
         here or in the process before this one."""
         broker = self.broker
-        return (broker.find(call) is None and call not in broker.ending and call not in self.owed
-                and not broker.recorder.elsewhere(call))
+        return (
+            broker.find(call) is None
+            and call not in broker.ending
+            and call not in self.owed
+            and not broker.recorder.elsewhere(call)
+        )
 
     def start(self, connection: ClientConnection, message: Message) -> None:
         broker, tag, opts = self.broker, message.tag, message.opts
@@ -359,8 +369,11 @@
         if message.blob is None or len(message.blob.encode()) + len(name) > LONGEST_TEXT:
             raise BadLineError("blob: no description, or one too long to go on")
         figures = set_up_figures(opts.get("extras", ""), broker.rules.pools[name])
-        if not self.lifecycle.takes() or len(connection.open) >= OPEN_MOST \
-                or (self.lifecycle.drains() and connection.carries_calls()):
+        if (
+            not self.lifecycle.takes()
+            or len(connection.open) >= OPEN_MOST
+            or (self.lifecycle.drains() and connection.carries_calls())
+        ):
             broker.tally.deferred(name)
             connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             return
@@ -370,18 +383,36 @@
             connection.say(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             connection.hang_up()
             return
-        request = Request(tag, name, key, message.blob, broker.clock.now() + left, self, connection.slot,
-                          team, client=connection.host)
+        request = Request(
+            tag,
+            name,
+            key,
+            message.blob,
+            broker.clock.now() + left,
+            self,
+            connection.slot,
+            team,
+            client=connection.host,
+        )
         connection.open[tag] = request
         connection.settle()
-        broker.arrive(request, api.CallArrived(
-            tag, name, team, left, figures.get("dest", -1), int(key, 16) if key else 0,
-            redial=opts.get("retry", "0") not in ("", "0"), cut_before=bool(figures.get("again", 0))))
+        broker.arrive(
+            request,
+            api.CallArrived(
+                tag,
+                name,
+                team,
+                left,
+                figures.get("dest", -1),
+                int(key, 16) if key else 0,
+                redial=opts.get("retry", "0") not in ("", "0"),
+                cut_before=bool(figures.get("again", 0)),
+            ),
+        )
 
     def twice(self, connection: ClientConnection, known: Request) -> None:
         """Guards against an id that is open or stands: which one an answer is for, nobody could tell."""
-        connection.complaints.say(
-            self.broker.clock.now(), connection.peer, f"set-up {known.id} came again")
+        connection.complaints.say(self.broker.clock.now(), connection.peer, f"set-up {known.id} came again")
         if known.front is not self or known.place != connection.slot:
             connection.say(Message("FINISH", known.id, rc=jsonl.OVERLOADED))
         elif known.state is State.OPEN:
@@ -393,8 +424,12 @@
 
         It gets that answer, and there is no second set-up; False where this is another set-up, or the
         connection that the answer was given on is still there."""
-        if known.given is None or known.id in getattr(self.connections.get(known.place), "standing", ()) \
-                or known.state is State.OPEN or not repeats(message, known.given, connection):
+        if (
+            known.given is None
+            or known.id in getattr(self.connections.get(known.place), "standing", ())
+            or known.state is State.OPEN
+            or not repeats(message, known.given, connection)
+        ):
             return False
         known.place = connection.slot
         connection.standing.add(known.id)
@@ -494,8 +529,7 @@
 
     def waits(self, request: Request) -> bool:
         connection = self.connections.get(request.place)
-        return connection is not None and connection.open.get(request.id) is request \
-            and not connection.left()
+        return connection is not None and connection.open.get(request.id) is request and not connection.left()
 
     def _answered(self, request: Request) -> ClientConnection | None:
         """Its connection, if that still waits for the answer: it has left, or has nobody to go to,
@@ -551,8 +585,9 @@
         if restarted and until > now:
             owed.host, owed.held_until = given.client, until
 
-    def resume(self, owed: Mapping[str, tuple[str, Outcome, float]],
-               given: Callable[[str], Given | None]) -> None:
+    def resume(
+        self, owed: Mapping[str, tuple[str, Outcome, float]], given: Callable[[str], Given | None]
+    ) -> None:
         """Releases owed since before a restart: client, outcome, since when. Each goes to whoever speaks
         next, unless its answer may not have been heard."""
         now = self.broker.clock.now()
@@ -588,8 +623,11 @@
 
         Guards against telling those who never asked: they would not pass it on."""
         usable = [at for at in self.connections if at.usable()]
-        return max(usable, key=lambda at: (at.known, at.slot != owed.slot, at.host == owed.host, at.heard_at),
-                   default=None)
+        return max(
+            usable,
+            key=lambda at: (at.known, at.slot != owed.slot, at.host == owed.host, at.heard_at),
+            default=None,
+        )
 
     def flush(self) -> None:
         """Sends the releases owed that are on no connection."""
@@ -606,8 +644,11 @@
         for owed in self.owed.values():
             if owed.held_until and owed.held_until <= now:
                 owed.held_until, owed.since = 0.0, now
-        for call in [call for call, owed in self.owed.items()
-                     if now - owed.since >= (KEEP_MS if owed.slot < 0 else REPEAT_MS)]:
+        for call in [
+            call
+            for call, owed in self.owed.items()
+            if now - owed.since >= (KEEP_MS if owed.slot < 0 else REPEAT_MS)
+        ]:
             self._settle(call)
         for call, owed in self.owed.items():
             # At doubling gaps.
--- a/frostport/net/gossip.py
+++ b/frostport/net/gossip.py
@@ -30,8 +30,9 @@
         self.key, self.fleet = key[:64], hashlib.blake2b(fleet.encode(), digest_size=16).digest()
 
     def _digest(self, body: bytes) -> bytes:
-        return hashlib.blake2b(bytes([messages.VERSION]) + body, digest_size=DIGEST, key=self.key,
-                               person=self.fleet).digest()
+        return hashlib.blake2b(
+            bytes([messages.VERSION]) + body, digest_size=DIGEST, key=self.key, person=self.fleet
+        ).digest()
 
     def close(self, message: Message) -> bytes:
         body = messages.encode(message)
@@ -53,8 +54,9 @@
 
     transport: Any = None
 
-    def __init__(self, seal: Seal, hear: Callable[[str, Message], None], clock: Clock,
-                 routes: Mapping[str, str]) -> None:
+    def __init__(
+        self, seal: Seal, hear: Callable[[str, Message], None], clock: Clock, routes: Mapping[str, str]
+    ) -> None:
         self.seal, self.hear, self.clock, self.routes = seal, hear, clock, routes
         self.complaints = Complaints(log)
         self.sent = self.received = self.sent_bytes = self.refused = 0
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -132,7 +132,7 @@
     def _end(self, line: bytes, lines: list[tuple[bytes, bool]]) -> None:
         """Guards against lines without end: nothing after the first that is too long can be trusted."""
         self.ended, self._rest = True, b""
-        lines.append((line[:self._limit], True))
+        lines.append((line[: self._limit], True))
 
     @property
     def partial(self) -> bool:
--- a/frostport/net/link.py
+++ b/frostport/net/link.py
@@ -76,7 +76,7 @@
                 raise BadFrameError(f"a frame of {size} bytes")
             if len(self.held) - at - LENGTH.size < size:
                 break
-            found.append(self.held[at + LENGTH.size:at + LENGTH.size + size])
+            found.append(self.held[at + LENGTH.size : at + LENGTH.size + size])
             at += LENGTH.size + size
             self.most = FRAME_MOST
         self.held = self.held[at:]
@@ -146,8 +146,12 @@
             self.drop()
 
     def _first(self, first: First) -> None:
-        if first.version != VERSION or first.fleet != self.link.fleet or not self.link.known(first.name) \
-                or (self.dialled and first.name != self.dialled):
+        if (
+            first.version != VERSION
+            or first.fleet != self.link.fleet
+            or not self.link.known(first.name)
+            or (self.dialled and first.name != self.dialled)
+        ):
             raise BadFrameError(f"fleet {first.fleet[:20]!r}, agent {first.name[:30]!r}: not known here")
         self.name = first.name
         self._await(None)
@@ -205,9 +209,18 @@
 
     noisy = False
 
-    def __init__(self, fleet: str, name: str, life: int, clock: Clock, deadlines: Deadlines,
-                 connect: Callable[[str, Connection], Any], address: Callable[[str], str],
-                 hear: Callable[[str, str, bytes], None], chance: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: str,
+        name: str,
+        life: int,
+        clock: Clock,
+        deadlines: Deadlines,
+        connect: Callable[[str, Connection], Any],
+        address: Callable[[str], str],
+        hear: Callable[[str, str, bytes], None],
+        chance: random.Random,
+    ) -> None:
         """`address` says where a peer is, "" where it isn't known; `connect` dials, its Deferred fails where
         that can't be done."""
         self.fleet, self.name, self.life = fleet, name, life
@@ -286,8 +299,11 @@
         """Its peer has said who it is. Of two connections the lesser name's stays; else the newer."""
         self.strangers.discard(connection)
         name, before = connection.name, self.by_name.get(connection.name)
-        if before is not None and bool(before.dialled) != bool(connection.dialled) \
-                and bool(connection.dialled) is not (self.name < name):
+        if (
+            before is not None
+            and bool(before.dialled) != bool(connection.dialled)
+            and bool(connection.dialled) is not (self.name < name)
+        ):
             connection.drop()
             return
         self.by_name[name] = connection
--- a/frostport/net/upstream.py
+++ b/frostport/net/upstream.py
@@ -38,14 +38,32 @@
 REDIAL_MS = 500.0  # pause after a connect that failed; the first try after a loss goes out at once
 REDIAL_MOST_MS = 1000.0  # pauses double up to this while other connections are open
 
-NOTES = {"blocked": NOTE_NO_LINE, "bounced": NOTE_RETURNED, "swamped": NOTE_PROCESSOR_FULL,
-         "occupied": NOTE_NUMBER_BUSY, "far_swamped": NOTE_RETURNED}
-BEFORE = {jsonl.FULL: Outcome.FULL, jsonl.BUSY: Outcome.ERROR, jsonl.FAULT: Outcome.ERROR,
-          jsonl.MOOT: Outcome.NOT_SENT, jsonl.BROKEN: Outcome.RESET}
+NOTES = {
+    "blocked": NOTE_NO_LINE,
+    "bounced": NOTE_RETURNED,
+    "swamped": NOTE_PROCESSOR_FULL,
+    "occupied": NOTE_NUMBER_BUSY,
+    "far_swamped": NOTE_RETURNED,
+}
+BEFORE = {
+    jsonl.FULL: Outcome.FULL,
+    jsonl.BUSY: Outcome.ERROR,
+    jsonl.FAULT: Outcome.ERROR,
+    jsonl.MOOT: Outcome.NOT_SENT,
+    jsonl.BROKEN: Outcome.RESET,
+}
 AFTER = (jsonl.NORMAL, jsonl.BROKEN)  # how a call that stands ends; another cause is a second answer
 # The names of the settings' report columns beside those that a report carries.
-COLUMNS = {"free": "x0", "size": "x1", "can_take": "qps", "depth": "queue", "load_share": "util",
-           "mean_ms": "latency_ms", "hold_back": "eps", "concurrent": "inflight"}
+COLUMNS = {
+    "free": "x0",
+    "size": "x1",
+    "can_take": "qps",
+    "depth": "queue",
+    "load_share": "util",
+    "mean_ms": "latency_ms",
+    "hold_back": "eps",
+    "concurrent": "inflight",
+}
 
 Connect = Callable[[str, ServerConnection], "defer.Deferred[object]"]
 
@@ -81,8 +99,7 @@
             self.redial.cancel()
         connection = ServerConnection(self)
         dialing = self.dialing = self.pool.connect(self.dial, connection)
-        limit = self.pool.deadlines.set(
-            self.pool.clock.now() + self.pool.connect_timeout_ms, dialing.cancel)
+        limit = self.pool.deadlines.set(self.pool.clock.now() + self.pool.connect_timeout_ms, dialing.cancel)
 
         def settled(result: object) -> object:
             limit.cancel()
@@ -204,8 +221,11 @@
         said."""
         kept = self.retired
         last_heard = max(at.heard_at for at in [connection, *self.connections, *([kept] if kept else [])])
-        if connection not in self.connections or connection.heard_at < last_heard \
-                or not self.broker.calls_stand(self.host):
+        if (
+            connection not in self.connections
+            or connection.heard_at < last_heard
+            or not self.broker.calls_stand(self.host)
+        ):
             connection.spoilt()
             return
         if kept is not None:
@@ -213,8 +233,12 @@
             self.connection_closed(kept)
         out = self._take_out_of_use(connection)
         self.retired, connection.retired = connection, True
-        log.info("%s: connection silent since %.0f ms, kept to be heard, %d set-ups reset", self.host,
-                 self.pool.clock.now() - connection.heard_at, len(out))
+        log.info(
+            "%s: connection silent since %.0f ms, kept to be heard, %d set-ups reset",
+            self.host,
+            self.pool.clock.now() - connection.heard_at,
+            len(out),
+        )
         for tag in out:
             connection.say(Message("FINISH", tag, rc=jsonl.NORMAL))
         self._reset(out)
@@ -277,8 +301,12 @@
         for action in self.liveness.look(now_ms, self.broker.calls_stand(self.host)):
             match action:
                 case Suspected(since_ms):
-                    log.warning("%s: liveness: alive -> suspected, nothing heard for %.0f ms, %d connections",
-                                self.host, now_ms - since_ms, self.open_connections())
+                    log.warning(
+                        "%s: liveness: alive -> suspected, nothing heard for %.0f ms, %d connections",
+                        self.host,
+                        now_ms - since_ms,
+                        self.open_connections(),
+                    )
                     self.broker.tally.suspected(self.host)
                 case AskForLife(since_ms):
                     self.ask_for_life(since_ms)
@@ -404,8 +432,10 @@
         told = jsonl.figures(message.opts.get("load", ""))
         if not told:
             return ()
-        return tuple(told.get(name, told.get(COLUMNS.get(name, name), -1.0))
-                     for name in self.broker.rules.settings.report_columns)
+        return tuple(
+            told.get(name, told.get(COLUMNS.get(name, name), -1.0))
+            for name in self.broker.rules.settings.report_columns
+        )
 
     def hear(self, connection: ServerConnection, message: Message) -> None:
         match message.verb:
@@ -432,19 +462,24 @@
 
     def answered(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is None and self.broker.recorder.defers(
-                message.tag, self.host, lambda: self.answered(connection, message, None)):
+            message.tag, self.host, lambda: self.answered(connection, message, None)
+        ):
             return
         if attempt is not None:
             self.broker.stood(attempt, message.blob or "")
-        elif (request := self.broker.find(message.tag)) is None or request.attempt is None \
-                or request.attempt.server != self.host:
+        elif (
+            (request := self.broker.find(message.tag)) is None
+            or request.attempt is None
+            or request.attempt.server != self.host
+        ):
             # Guards against an answer that crosses our give-up, also where the call stands at another server
             # meanwhile: what it set up must not be left standing.
             connection.say(Message("FINISH", message.tag, rc=jsonl.NORMAL))
 
     def finished(self, connection: ServerConnection, message: Message, attempt: Attempt | None) -> None:
         if attempt is None and self.broker.recorder.defers(
-                message.tag, self.host, lambda: self.finished(connection, message, None)):
+            message.tag, self.host, lambda: self.finished(connection, message, None)
+        ):
             return
 
         def confirm() -> None:
@@ -464,8 +499,11 @@
             if request.state is State.STANDING and message.rc in AFTER:
                 over = Outcome.OK if message.rc == jsonl.NORMAL else Outcome.RESET
                 self.broker.ended(request.attempt, over, report=self.report(message))
-            elif request.attempt.out and request.attempt.link not in (None, connection.slot) \
-                    and message.rc == jsonl.NORMAL:
+            elif (
+                request.attempt.out
+                and request.attempt.link not in (None, connection.slot)
+                and message.rc == jsonl.NORMAL
+            ):
                 # A server tells the end on the next connection that opens too, where it may be read before
                 # the answer. On the answer's own it can't be: another word on an earlier attempt.
                 self.broker.over_early(request.attempt, confirm)
--- a/frostport/observe/figures.py
+++ b/frostport/observe/figures.py
@@ -79,11 +79,18 @@
 
     def lines(self) -> list[str]:
         """The figures in statsd text, one a line."""
-        said = [f"{PREFIX}.{name}.{call_class}:{count}|c"
-                for name, counts in self.counts.items() for call_class, count in sorted(counts.items())]
-        said += [f"{PREFIX}.current:{max(0, self.current)}|g", f"{PREFIX}.cluster_size:{self.cluster_size}|g",
-                 f"{PREFIX}.cluster_unhealthy:{len(self.avoiding)}|g",
-                 f"{PREFIX}.calls_cut:{self.calls_cut}|c",
-                 f"{PREFIX}.servers_suspected:{self.servers_suspected}|c",
-                 f"{PREFIX}.conf_loaded:{self.conf_loaded}|c", f"{PREFIX}.conf_invalid:{self.conf_invalid}|c"]
+        said = [
+            f"{PREFIX}.{name}.{call_class}:{count}|c"
+            for name, counts in self.counts.items()
+            for call_class, count in sorted(counts.items())
+        ]
+        said += [
+            f"{PREFIX}.current:{max(0, self.current)}|g",
+            f"{PREFIX}.cluster_size:{self.cluster_size}|g",
+            f"{PREFIX}.cluster_unhealthy:{len(self.avoiding)}|g",
+            f"{PREFIX}.calls_cut:{self.calls_cut}|c",
+            f"{PREFIX}.servers_suspected:{self.servers_suspected}|c",
+            f"{PREFIX}.conf_loaded:{self.conf_loaded}|c",
+            f"{PREFIX}.conf_invalid:{self.conf_invalid}|c",
+        ]
         return said
--- a/frostport/observe/record.py
+++ b/frostport/observe/record.py
@@ -49,8 +49,9 @@
     """One file of JSON lines; `stamp` gives each line what all have (agent, incarnation, times)."""
 
     def __init__(self, path: pathlib.Path, stamp: Callable[[], dict[str, Any]]) -> None:
-        self._file = logging.handlers.RotatingFileHandler(path, maxBytes=FILE_BYTES, backupCount=FILES - 1,
-                                                          encoding="utf-8")
+        self._file = logging.handlers.RotatingFileHandler(
+            path, maxBytes=FILE_BYTES, backupCount=FILES - 1, encoding="utf-8"
+        )
         self._file.setFormatter(logging.Formatter("%(message)s"))
         self._queue = _Queue(queue.Queue(WAITING_MOST))
         self._listener = logging.handlers.QueueListener(self._queue.queue, self._file)
@@ -62,8 +63,11 @@
             return {**stamp(), **event}
 
         self._log = structlog.wrap_logger(
-            plain, wrapper_class=structlog.BoundLogger, context_class=dict,
-            processors=[stamped, structlog.processors.JSONRenderer(sort_keys=True)])
+            plain,
+            wrapper_class=structlog.BoundLogger,
+            context_class=dict,
+            processors=[stamped, structlog.processors.JSONRenderer(sort_keys=True)],
+        )
 
     @property
     def lost(self) -> int:
