--- a/frostport/operations.py
+++ b/frostport/operations.py
@@ -18,8 +18,14 @@
         self.kept: Callable[[str], str] = lambda name: ""  # why a server ("": this agent) stays out
 
     def operations(self) -> dict[str, Operation]:
-        return {"ready": self.ready, "drain": self.drain, "resume": self.resume, "show-stat": self.show_stat,
-                "disable-server": self.disable_server, "enable-server": self.enable_server}
+        return {
+            "ready": self.ready,
+            "drain": self.drain,
+            "resume": self.resume,
+            "show-stat": self.show_stat,
+            "disable-server": self.disable_server,
+            "enable-server": self.enable_server,
+        }
 
     def disable_server(self, rest: str) -> list[str]:
         return self._rotate(rest, True, "out of rotation")
--- a/frostport/replication/copies.py
+++ b/frostport/replication/copies.py
@@ -93,12 +93,12 @@
         where = range_of(key)
         before = self.entries.pop(key, None)
         if before is not None:
-            self.leaves[where] = (self.leaves[where] - digest(key, before[1])) % 2 ** 128
+            self.leaves[where] = (self.leaves[where] - digest(key, before[1])) % 2**128
             self.ranges[where].discard(key)
         if value is not None:
             self.entries[key] = (number, value)
             self.ranges[where].add(key)
-            self.leaves[where] = (self.leaves[where] + digest(key, value)) % 2 ** 128
+            self.leaves[where] = (self.leaves[where] + digest(key, value)) % 2**128
 
     def leaf_bytes(self) -> bytes:
         return b"".join(leaf.to_bytes(16, "big") for leaf in self.leaves)
@@ -110,5 +110,8 @@
         """Ranges whose digest is another there. All of them where that can't be read."""
         if len(leaves) != 16 * RANGES:
             return list(range(RANGES))
-        return [at for at, leaf in enumerate(self.leaves)
-                if leaf.to_bytes(16, "big") != leaves[16 * at:16 * at + 16]]
+        return [
+            at
+            for at, leaf in enumerate(self.leaves)
+            if leaf.to_bytes(16, "big") != leaves[16 * at : 16 * at + 16]
+        ]
--- a/frostport/replication/holder.py
+++ b/frostport/replication/holder.py
@@ -76,7 +76,8 @@
     def after(self, number: int) -> list[tuple[str, int, bytes | None]]:
         """All that was written behind a batch: keys, numbers, values."""
         found: list[tuple[str, int, bytes | None]] = [
-            (name, at, value) for name, (at, value) in self.table.entries.items() if at > number]
+            (name, at, value) for name, (at, value) in self.table.entries.items() if at > number
+        ]
         return found + [(name, at, None) for name, at in self.gone.items() if at > number]
 
     def name(self) -> str:
@@ -100,10 +101,10 @@
         for key, value in kept.items():
             if key.startswith(META):
                 meta = _meta.decode(value)
-                copy = self._copy(*self._named(key[len(META):]))
+                copy = self._copy(*self._named(key[len(META) :]))
                 copy.at, copy.whole = meta.at, meta.whole
             elif key.startswith(COPY):
-                owner, epoch, name = key[len(COPY):].split(BETWEEN, 2)
+                owner, epoch, name = key[len(COPY) :].split(BETWEEN, 2)
                 record = _kept.decode(value)
                 copy = self._copy(owner, int(epoch))
                 copy.table.put(name, record.number, record.value)
@@ -175,8 +176,9 @@
         """A later epoch of the same owner begins with what is here of the one before: most of it is the same.
 
         The earlier copy stays: the log says when it may go."""
-        before = [each for each in self.copies.values()
-                  if each.owner == copy.owner and each.epoch < copy.epoch]
+        before = [
+            each for each in self.copies.values() if each.owner == copy.owner and each.epoch < copy.epoch
+        ]
         if before:
             for name, (_, value) in max(before, key=lambda each: each.epoch).table.entries.items():
                 self._put(copy, name, 0, value, out)
@@ -202,8 +204,9 @@
         copy.next_part.clear()
         copy.at, copy.whole, copy.begun, copy.round = message.at, False, True, message.round
         self._mark(copy, out)
-        out.send.append((copy.owner, Wants(copy.owner, copy.epoch, copy.at, tuple(sorted(copy.wanted)),
-                                       copy.round)))
+        out.send.append(
+            (copy.owner, Wants(copy.owner, copy.epoch, copy.at, tuple(sorted(copy.wanted)), copy.round))
+        )
         if not copy.wanted:
             self._ack(copy, out)
 
--- a/frostport/replication/stream.py
+++ b/frostport/replication/stream.py
@@ -52,8 +52,9 @@
 class Stream:
     """The stream of one process in one epoch."""
 
-    def __init__(self, owner: str, epoch: int, settings: Settings,
-                 records: Iterable[tuple[str, bytes]]) -> None:
+    def __init__(
+        self, owner: str, epoch: int, settings: Settings, records: Iterable[tuple[str, bytes]]
+    ) -> None:
         """`records`: what it begins with, from its disk."""
         self.owner, self.epoch, self.settings = owner, epoch, settings
         self.table, self.number = Table(), 0
@@ -81,8 +82,9 @@
         """The last batch that as many holders have as are asked for; with 0 of them all are."""
         if self.settings.acks <= 0:
             return self.number
-        acked = sorted((holder.acked for holder in self.holders.values() if holder.phase is Phase.WHOLE),
-                       reverse=True)
+        acked = sorted(
+            (holder.acked for holder in self.holders.values() if holder.phase is Phase.WHOLE), reverse=True
+        )
         return acked[self.settings.acks - 1] if len(acked) >= self.settings.acks else 0
 
     def follow(self, names: Iterable[str], now: float, out: Out) -> None:
@@ -102,8 +104,9 @@
         holder.ranges.clear()
         holder.part.clear()
         holder.said_at = now
-        out.append((name, Digests(self.owner, self.epoch, self.number, self.table.leaf_bytes(),
-                                  holder.round)))
+        out.append(
+            (name, Digests(self.owner, self.epoch, self.number, self.table.leaf_bytes(), holder.round))
+        )
 
     def _send(self, name: str, holder: Following, now: float, out: Out) -> None:
         """What the window allows of what it has not been sent."""
@@ -146,8 +149,9 @@
                     holder.phase = Phase.CHECK
                     self._check(sender, holder, now, out)
                 self._send(sender, holder, now, out)
-            case Digests() if message.round == holder.round \
-                    or (message.round == 0 and holder.phase is not Phase.NEW):
+            case Digests() if message.round == holder.round or (
+                message.round == 0 and holder.phase is not Phase.NEW
+            ):
                 # It asks for a new round: its copy differs, or its process is another.
                 self._begin(sender, holder, now, out)
 
@@ -165,8 +169,9 @@
         while holder.ranges and holder.pieces >= 1.0:
             if not holder.part:
                 # One range is read at once: what changes in it later comes behind it, by its number.
-                holder.part = [(key, self.table.entries[key][1])
-                               for key in sorted(self.table.ranges[holder.ranges[0]])]
+                holder.part = [
+                    (key, self.table.entries[key][1]) for key in sorted(self.table.ranges[holder.ranges[0]])
+                ]
                 holder.parts, holder.at = 0, self.number
                 self._send(name, holder, now, out)
             size, entries = 0, []
@@ -176,8 +181,21 @@
                 entries.append((key, value))
             holder.pieces -= 1.0
             last = not holder.part
-            out.append((name, Piece(self.owner, self.epoch, holder.at, holder.ranges[0], holder.parts,
-                                    tuple(entries), last, holder.round)))
+            out.append(
+                (
+                    name,
+                    Piece(
+                        self.owner,
+                        self.epoch,
+                        holder.at,
+                        holder.ranges[0],
+                        holder.parts,
+                        tuple(entries),
+                        last,
+                        holder.round,
+                    ),
+                )
+            )
             holder.parts += 1
             holder.said_at = now
             if last:
--- a/frostport/settings.py
+++ b/frostport/settings.py
@@ -45,8 +45,9 @@
 class Conf:
     """The settings' path=value pairs; unknown ones are skipped, absent ones keep their default."""
 
-    def __init__(self, pairs: Mapping[str, str],
-                 error: Callable[[str, str], Exception] = SettingsError) -> None:
+    def __init__(
+        self, pairs: Mapping[str, str], error: Callable[[str, str], Exception] = SettingsError
+    ) -> None:
         self._pairs, self._error = pairs, error
 
     def text(self, path: str, default: str = "") -> str:
@@ -100,20 +101,32 @@
         at = f"services.{index}."
         pools = f"family-info.pools-by-class.{index}"
         deadline = conf.number(at + "deadline-ms", 0.0)
-        classes.append(api.CallClass(
-            name=conf.text(at + "name"), aim_ms=conf.number(at + "aim-ms", deadline),
-            deadline_ms=deadline, gain=conf.number(at + "gain", 1.0),
-            late_worth=conf.number(at + "late-worth", 0.0),
-            effect=conf.one_of(at + "effect", api.Effect, api.Effect.PURE),
-            key_scope=conf.text(at + "key-scope", "all"), window_ms=conf.number(at + "window-ms", 0.0),
-            holding_ms=holding[index] if index < len(holding) else 0.0,
-            pools=conf.integers(pools) or None if conf.text("family-info.topology") == "pools" else None))
+        classes.append(
+            api.CallClass(
+                name=conf.text(at + "name"),
+                aim_ms=conf.number(at + "aim-ms", deadline),
+                deadline_ms=deadline,
+                gain=conf.number(at + "gain", 1.0),
+                late_worth=conf.number(at + "late-worth", 0.0),
+                effect=conf.one_of(at + "effect", api.Effect, api.Effect.PURE),
+                key_scope=conf.text(at + "key-scope", "all"),
+                window_ms=conf.number(at + "window-ms", 0.0),
+                holding_ms=holding[index] if index < len(holding) else 0.0,
+                pools=conf.integers(pools) or None if conf.text("family-info.topology") == "pools" else None,
+            )
+        )
     tenants = tuple(
-        api.Tenant(conf.text(f"tenants.{index}.name"), conf.number(f"tenants.{index}.quota-per-s", 0.0),
-                   conf.number(f"tenants.{index}.share", 0.0))
-        for index in range(conf.integer("tenants.count", 0)))
+        api.Tenant(
+            conf.text(f"tenants.{index}.name"),
+            conf.number(f"tenants.{index}.quota-per-s", 0.0),
+            conf.number(f"tenants.{index}.share", 0.0),
+        )
+        for index in range(conf.integer("tenants.count", 0))
+    )
     return api.Settings(
-        classes=tuple(classes), tenants=tenants, me=conf.integer("me", defaults.me),
+        classes=tuple(classes),
+        tenants=tenants,
+        me=conf.integer("me", defaults.me),
         siblings=conf.integer("siblings", defaults.siblings),
         home_number=conf.integer("family-info.home-no", defaults.home_number),
         step_ms=conf.number("step-ms", defaults.step_ms),
@@ -126,10 +139,13 @@
         fall_ms=conf.number("rules.fall-ms", defaults.fall_ms),
         over_share_worth=conf.number("over-share-worth", defaults.over_share_worth),
         try_limit=conf.integer("caps.try-limit", defaults.try_limit),
-        may_cancel=conf.flag("caps.may-cancel"), peers=conf.flag("caps.peers"),
-        probes=conf.flag("caps.probes"), retry_after=conf.flag("caps.retry-after"),
+        may_cancel=conf.flag("caps.may-cancel"),
+        peers=conf.flag("caps.peers"),
+        probes=conf.flag("caps.probes"),
+        retry_after=conf.flag("caps.retry-after"),
         max_retry_after_ms=conf.number("caps.max-retry-after-ms", defaults.max_retry_after_ms),
         connect_timeout_ms=conf.number("caps.connect-timeout-ms", defaults.connect_timeout_ms),
         late_fail_price=conf.number("prices.late-fail", defaults.late_fail_price),
         subscribe=conf.text("discovery") == "subscribe",
-        report_columns=tuple(conf.words("report.columns")))
+        report_columns=tuple(conf.words("report.columns")),
+    )
--- a/frostport/side_diameter.py
+++ b/frostport/side_diameter.py
@@ -26,14 +26,32 @@
     def __init__(self, agent: Parts) -> None:
         config, wanted = agent.config, agent.config.diameter
         assert wanted is not None
-        identity = self.identity = Identity(wanted.host, wanted.realm, int(agent.clock.now() / 1000.0),
-                            split(config.listen)[0])
+        identity = self.identity = Identity(
+            wanted.host, wanted.realm, int(agent.clock.now() / 1000.0), split(config.listen)[0]
+        )
         chance = random.Random(config.seed)
         numbers = {server.host: server.number for server in wanted.servers}
-        self.front = DiameterFront(agent.broker, agent.lifecycle, identity, wanted.clients, numbers,
-                                   wanted.watchdog_ms, chance, agent.gate, liveness.closed)
-        self.route = DiameterRoute(agent.broker, self.front, identity, wanted.servers, wanted.watchdog_ms,
-                                   wanted.sessions_lost_ms, chance, agent.connect)
+        self.front = DiameterFront(
+            agent.broker,
+            agent.lifecycle,
+            identity,
+            wanted.clients,
+            numbers,
+            wanted.watchdog_ms,
+            chance,
+            agent.gate,
+            liveness.closed,
+        )
+        self.route = DiameterRoute(
+            agent.broker,
+            self.front,
+            identity,
+            wanted.servers,
+            wanted.watchdog_ms,
+            wanted.sessions_lost_ms,
+            chance,
+            agent.connect,
+        )
         agent.broker.route = self.route
 
     def factory(self) -> Factory:
@@ -60,8 +78,9 @@
     def _sessions_over(self, restored: Restored) -> None:
         for call, over in restored.over.items():
             if over.answer != "gone" and call not in self.front.sessions:
-                self.front.resume_session(call, over.client, "", over.answer, over.body, over.ended_by,
-                                          over.at)
+                self.front.resume_session(
+                    call, over.client, "", over.answer, over.body, over.ended_by, over.at
+                )
 
     def take_up(self, restored: Restored) -> None:
         self._sessions_over(restored)
--- a/frostport/sides.py
+++ b/frostport/sides.py
@@ -50,8 +50,9 @@
     def __init__(self, agent: Parts) -> None:
         self.agent, config = agent, agent.config
         self.front = PlatformFront(agent.broker, agent.lifecycle, agent.gate)
-        self.servers = UpstreamPool(agent.broker, self.front, agent.connect,
-                                    config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS)
+        self.servers = UpstreamPool(
+            agent.broker, self.front, agent.connect, config.settings.connect_timeout_ms or CONNECT_TIMEOUT_MS
+        )
         agent.broker.route = self.servers
         due = agent.gate.descriptors.due
         due[Owner.BUS] = 2 if config.bus else 0  # the one that is left, and the one that it moves to
@@ -79,8 +80,11 @@
     def resume(self, restored: Restored) -> None:
         """Goes on with what was on record: the list, and releases owed to clients."""
         if restored.offset >= 0:
-            self.list.resume(restored.offset, restored.version, [
-                (server, dial) for server, dial, _ in restored.servers.values() if dial])
+            self.list.resume(
+                restored.offset,
+                restored.version,
+                [(server, dial) for server, dial, _ in restored.servers.values() if dial],
+            )
         self.front.resume(restored.owed, restored.given)
 
     def release(self, restored: Restored) -> None:
--- a/frostport/starting.py
+++ b/frostport/starting.py
@@ -79,8 +79,13 @@
 
     def start(self) -> None:
         if self.fleet is not None:
-            self.feed = Feed(self.name, self.fleet.config.zone, self._joined.side.list.offset, self.settings,
-                             self.monotonic.now())
+            self.feed = Feed(
+                self.name,
+                self.fleet.config.zone,
+                self._joined.side.list.offset,
+                self.settings,
+                self.monotonic.now(),
+            )
             self.fleet.parts[KIND] = self._frame
             self.fleet.watchers.append(self._changed)
         self._tick()
@@ -129,8 +134,9 @@
         if serving != self.serving:
             self.serving = serving
             self._joined.broker.siblings_up(serving)
-        self._feed(feeding.Members({member.name: member.info.zone for member in here
-                                    if member.state is State.ALIVE}))
+        self._feed(
+            feeding.Members({member.name: member.info.zone for member in here if member.state is State.ALIVE})
+        )
 
     # The list by the fleet
 
@@ -148,8 +154,14 @@
                     self._send(to, encoded)
                 case feeding.Whole(to):
                     age = feed.age_ms(self.monotonic.now())
-                    told = messages.Told(-1, (self._whole(),), age if age < 1e12 else -1.0, feed.here, False,
-                                         pressed=feed.pressed)
+                    told = messages.Told(
+                        -1,
+                        (self._whole(),),
+                        age if age < 1e12 else -1.0,
+                        feed.here,
+                        False,
+                        pressed=feed.pressed,
+                    )
                     self._send(to, _encoder.encode(told))
                 case feeding.Take(events):
                     self._take(events)
@@ -196,18 +208,34 @@
     def _heard_of(self, offset: int) -> None:
         if self.fleet is not None and self.feed is not None and offset > self.feed.offset:
             age = self.feed.age_ms(self.monotonic.now())
-            self.fleet.record.event("list", offset=offset, role=self.feed.role.value, source=self.teller,
-                                    age_ms=round(age) if age < 1e12 else -1)
+            self.fleet.record.event(
+                "list",
+                offset=offset,
+                role=self.feed.role.value,
+                source=self.teller,
+                age_ms=round(age) if age < 1e12 else -1,
+            )
 
     def _whole(self) -> bytes:
         """The list as one event."""
         known = self._joined.side.list
-        hosts = [{"host": server.address, "dial": dial, "site": server.zone, "class": server.kind,
-                  "block": server.number, "health": server.state.value, "share": server.nominal,
-                  "born_ms": server.started_ms}
-                 for server, dial in known.entries.values() if server.state is not Listing.GONE]
-        return orjson.dumps({"offset": known.offset,
-                             "topology": {"seq": known.version, "whole": True, "hosts": hosts}})
+        hosts = [
+            {
+                "host": server.address,
+                "dial": dial,
+                "site": server.zone,
+                "class": server.kind,
+                "block": server.number,
+                "health": server.state.value,
+                "share": server.nominal,
+                "born_ms": server.started_ms,
+            }
+            for server, dial in known.entries.values()
+            if server.state is not Listing.GONE
+        ]
+        return orjson.dumps(
+            {"offset": known.offset, "topology": {"seq": known.version, "whole": True, "hosts": hosts}}
+        )
 
     # As the one whom bus and lobby servers ask before they dial
 
@@ -285,13 +313,22 @@
     def _look(self, now: float) -> None:
         agent = self._joined
         lobbies = agent.side.servers.members
-        answering = sum(any(at.heard_at > at.opened_at for at in lobbies[host].connections)
-                        for host in self.chosen if host in lobbies)
+        answering = sum(
+            any(at.heard_at > at.opened_at for at in lobbies[host].connections)
+            for host in self.chosen
+            if host in lobbies
+        )
         members = list(self.fleet.swim.table.here()) if self.fleet is not None else []
         phases = [member.info.phase for member in members]
         listed = sum(server.state is Listing.READY for server, _ in agent.side.list.entries.values())
-        local = Local(listed, answering, len(self.chosen), phases.count(PREPARED),
-                      phases.count(Phase.SERVING.value), len(members) + 1)
+        local = Local(
+            listed,
+            answering,
+            len(self.chosen),
+            phases.count(PREPARED),
+            phases.count(Phase.SERVING.value),
+            len(members) + 1,
+        )
         before = self.waves.prepared_at
         ready = self.waves.look(local, now)
         if self.fleet is not None:
@@ -314,12 +351,15 @@
         lines = [f"OK {waits}; {self.turns.size} agents share {rate}"]
         if feed is not None:
             age = feed.age_ms(now)
-            lines.append(f"list {self._joined.side.list.offset} {feed.role.value}"
-                         f"{f' by {feed.source}' if feed.source else ''}, the service heard "
-                         f"{f'{age:.0f} ms ago' if age < 1e12 else 'never'}; feeds {len(feed.fed)}")
+            lines.append(
+                f"list {self._joined.side.list.offset} {feed.role.value}"
+                f"{f' by {feed.source}' if feed.source else ''}, the service heard "
+                f"{f'{age:.0f} ms ago' if age < 1e12 else 'never'}; feeds {len(feed.fed)}"
+            )
         for name, target in sorted(self.turns.targets.items()):
             if target.failures or target.due_at > now or self.turns.pressure(name, now) > 1.0:
-                lines.append(f"{name}: turn in {max(0.0, target.due_at - now):.0f} ms, {target.failures} "
-                             f"failures, pressure {self.turns.pressure(name, now):.2f}")
+                lines.append(
+                    f"{name}: turn in {max(0.0, target.due_at - now):.0f} ms, {target.failures} "
+                    f"failures, pressure {self.turns.pressure(name, now):.2f}"
+                )
         return [*lines, "END"]
-
--- a/frostport/startup/feed.py
+++ b/frostport/startup/feed.py
@@ -157,14 +157,18 @@
         for name, zone in zones.items():
             by_zone.setdefault(zone, []).append(name)
         least = {zone: ranked(zone, names, self.settings.feeders) for zone, names in by_zone.items()}
-        self._order = [name for zone in sorted(least, key=lambda zone: (zone != self.zone, zone))
-                       for name in least[zone] if name != self.name]
+        self._order = [
+            name
+            for zone in sorted(least, key=lambda zone: (zone != self.zone, zone))
+            for name in least[zone]
+            if name != self.name
+        ]
         # Guards against a start where each sees few others, and most think themselves first.
         self.whole = whole = len(zones) + 1 >= 0.5 * self.settings.agents
         self.dialling_too = THINNED * self.settings.feeders * len(by_zone)
         self.first = self.name in least[self.zone] and (
-            whole or weight(self.zone, self.name) * self.settings.agents
-            < self.dialling_too)
+            whole or weight(self.zone, self.name) * self.settings.agents < self.dialling_too
+        )
 
     def handle(self, event: Event, now: float) -> list[Action]:
         out: list[Action] = []
@@ -227,8 +231,14 @@
 
     def _told(self, at: int, events: tuple[bytes, ...], now: float) -> Told:
         age = self.age_ms(now)
-        return Told(at, events, age if age < math.inf else -1.0, self.here,
-                    self.role in (Role.FEEDING, Role.ALONE), pressed=self.pressed)
+        return Told(
+            at,
+            events,
+            age if age < math.inf else -1.0,
+            self.here,
+            self.role in (Role.FEEDING, Role.ALONE),
+            pressed=self.pressed,
+        )
 
     def _beat(self, now: float, out: list[Action]) -> None:
         self.beat_at = now
--- a/frostport/startup/placing.py
+++ b/frostport/startup/placing.py
@@ -16,7 +16,7 @@
 def weight(key: str, name: str) -> float:
     """From 0 up to 1, the same at every agent."""
     digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big") / 2.0 ** 64
+    return int.from_bytes(digest, "big") / 2.0**64
 
 
 def ranked(key: str, names: Iterable[str], most: int) -> list[str]:
@@ -32,5 +32,5 @@
     if len(servers) <= count:
         return set(servers)
     order = ranked("servers", servers, len(servers))
-    place = sorted({*agents, name}).index(name) if len(agents) > 1 else int(weight("place", name) * 2.0 ** 20)
+    place = sorted({*agents, name}).index(name) if len(agents) > 1 else int(weight("place", name) * 2.0**20)
     return {order[(place * count + step) % len(order)] for step in range(count)}
--- a/frostport/state/merge.py
+++ b/frostport/state/merge.py
@@ -18,12 +18,15 @@
 def better(one: Record, other: Record) -> Record:
     """Which of two records of one key counts."""
     match one, other:
-        case (Open() | Standing() | Over()), (Open() | Standing() | Over()):
+        case ((Open() | Standing() | Over()), (Open() | Standing() | Over())):
             if RANK[type(one)] != RANK[type(other)]:
                 return max(one, other, key=lambda record: RANK[type(record)])
             if isinstance(one, Over) and isinstance(other, Over):
-                return min(one, other, key=lambda record: (
-                    record.answer == "gone", record.at, records.encode(record)))
+                return min(
+                    one,
+                    other,
+                    key=lambda record: (record.answer == "gone", record.at, records.encode(record)),
+                )
         case Bucket(), Bucket():
             return min(one, other, key=lambda record: (record.tokens, -record.at))
         case Bus(), Bus():
--- a/frostport/state/recorder.py
+++ b/frostport/state/recorder.py
@@ -95,18 +95,47 @@
     # Calls
 
     def _open(self, request: Request, server: str) -> records.Open:
-        return records.Open(server, self.clock.now(), request.not_before, request.attempts,
-                            request.call_class, request.team, request.client, request.identity)
+        return records.Open(
+            server,
+            self.clock.now(),
+            request.not_before,
+            request.attempts,
+            request.call_class,
+            request.team,
+            request.client,
+            request.identity,
+        )
 
     def _over(self, request: Request, server: str, owed: bool = False) -> records.Over:
         """With the answer where a duplicate may still ask for it: a client that is owed the end, say."""
         given = request.given
         if given is None or (isinstance(given.answer, str) and not owed):
-            return records.Over(request.answer, server, self.clock.now(), request.not_before, request.client,
-                                request.identity, request.ended_by, request.back_ms, b"")
-        return records.Over(request.answer, server, self.clock.now(), request.not_before, request.client,
-                            request.identity, request.ended_by, request.back_ms, as_bytes(given.answer),
-                            isinstance(given.answer, str), given.service, given.print, given.at)
+            return records.Over(
+                request.answer,
+                server,
+                self.clock.now(),
+                request.not_before,
+                request.client,
+                request.identity,
+                request.ended_by,
+                request.back_ms,
+                b"",
+            )
+        return records.Over(
+            request.answer,
+            server,
+            self.clock.now(),
+            request.not_before,
+            request.client,
+            request.identity,
+            request.ended_by,
+            request.back_ms,
+            as_bytes(given.answer),
+            isinstance(given.answer, str),
+            given.service,
+            given.print,
+            given.at,
+        )
 
     def sending(self, attempt: Attempt, then: Then) -> None:
         self._put(CALL + attempt.request.id, self._open(attempt.request, attempt.server), then)
@@ -116,11 +145,28 @@
         self._put(CALL + request.id, record)
 
     def stands(self, request: Request, attempt: Attempt, body: Body, then: Then) -> None:
-        given = request.given = Given(request.call_class, request.client,
-                                      zlib.crc32(as_bytes(request.description)), body, self.clock.now())
-        self._put(CALL + request.id, records.Standing(
-            attempt.server, given.at, given.service, request.team, given.client, request.identity,
-            given.print, isinstance(body, str), as_bytes(body)), then)
+        given = request.given = Given(
+            request.call_class,
+            request.client,
+            zlib.crc32(as_bytes(request.description)),
+            body,
+            self.clock.now(),
+        )
+        self._put(
+            CALL + request.id,
+            records.Standing(
+                attempt.server,
+                given.at,
+                given.service,
+                request.team,
+                given.client,
+                request.identity,
+                given.print,
+                isinstance(body, str),
+                as_bytes(body),
+            ),
+            then,
+        )
 
     def answered(self, request: Request, server: str, then: Then) -> None:
         self._put(CALL + request.id, self._over(request, server), then)
@@ -164,9 +210,20 @@
         self._drop(f"{BUDGET}{team}{BETWEEN}{service}")
 
     def listed(self, server: api.Server, dial: str, stop_at: float | None) -> None:
-        self._put(SERVER + server.address, records.Listed(
-            server.number, server.state.value, server.zone, server.started_ms, server.nominal, server.kind,
-            dial, stop_at, self.clock.now()))
+        self._put(
+            SERVER + server.address,
+            records.Listed(
+                server.number,
+                server.state.value,
+                server.zone,
+                server.started_ms,
+                server.nominal,
+                server.kind,
+                dial,
+                stop_at,
+                self.clock.now(),
+            ),
+        )
 
     def unlisted(self, address: str) -> None:
         self._drop(SERVER + address)
@@ -175,8 +232,9 @@
         self._put(records.BUS, records.Bus(offset, version, self.clock.now()))
 
     def peer(self, host: str, state_id: int | None, started_ms: float) -> None:
-        self._put(PEER + host, records.PeerState(-1 if state_id is None else state_id, started_ms,
-                                                 self.clock.now()))
+        self._put(
+            PEER + host, records.PeerState(-1 if state_id is None else state_id, started_ms, self.clock.now())
+        )
 
     def node(self, state_id: int) -> None:
         self._put(records.NODE, records.Node(state_id, self.clock.now()))
--- a/frostport/state/records.py
+++ b/frostport/state/records.py
@@ -126,10 +126,15 @@
 
 _encoder = msgspec.msgpack.Encoder()
 FORMS: dict[str, msgspec.msgpack.Decoder[Record]] = {
-    CALL: msgspec.msgpack.Decoder(Call), SERVER: msgspec.msgpack.Decoder(Listed),
-    BUDGET: msgspec.msgpack.Decoder(Bucket), OWED: msgspec.msgpack.Decoder(Owed),
-    RELEASE: msgspec.msgpack.Decoder(Release), PEER: msgspec.msgpack.Decoder(PeerState),
-    BUS: msgspec.msgpack.Decoder(Bus), NODE: msgspec.msgpack.Decoder(Node)}
+    CALL: msgspec.msgpack.Decoder(Call),
+    SERVER: msgspec.msgpack.Decoder(Listed),
+    BUDGET: msgspec.msgpack.Decoder(Bucket),
+    OWED: msgspec.msgpack.Decoder(Owed),
+    RELEASE: msgspec.msgpack.Decoder(Release),
+    PEER: msgspec.msgpack.Decoder(PeerState),
+    BUS: msgspec.msgpack.Decoder(Bus),
+    NODE: msgspec.msgpack.Decoder(Node),
+}
 
 
 class BadRecordError(ValueError):
--- a/frostport/state/recovery.py
+++ b/frostport/state/recovery.py
@@ -76,13 +76,22 @@
     return restored
 
 
-def keep(restored: Restored, name: str, record: records.Record, at: float, last: float, now: float,
-         guard_ms: float, shift: float) -> bool:
+def keep(
+    restored: Restored,
+    name: str,
+    record: records.Record,
+    at: float,
+    last: float,
+    now: float,
+    guard_ms: float,
+    shift: float,
+) -> bool:
     """Takes one record in; False where it is of no more use."""
     match record:
         case records.Open():
-            restored.over[name] = Over("gone", record.server, at, now + guard_ms, record.client,
-                                       record.identity, -1, 0.0, b"")
+            restored.over[name] = Over(
+                "gone", record.server, at, now + guard_ms, record.client, record.identity, -1, 0.0, b""
+            )
             restored.releases[record.server, name] = None
         case Standing():
             if now - at > STANDING_MS:
@@ -109,18 +118,28 @@
         case records.Listed():
             stop_at = None if record.stop_at is None else record.stop_at + shift
             restored.servers[name] = (
-                api.Server(name, record.number, Lifecycle(record.state), record.zone,
-                           record.started_ms + shift if record.started_ms else 0.0, record.nominal,
-                           record.kind),
-                record.dial, stop_at)
+                api.Server(
+                    name,
+                    record.number,
+                    Lifecycle(record.state),
+                    record.zone,
+                    record.started_ms + shift if record.started_ms else 0.0,
+                    record.nominal,
+                    record.kind,
+                ),
+                record.dial,
+                stop_at,
+            )
         case records.Bucket():
             team, _, service = name.partition(BETWEEN)
             restored.budgets[team, service] = (record.tokens, at)
         case records.Bus():
             restored.offset, restored.version = record.offset, record.version
         case records.PeerState():
-            restored.peers[name] = (None if record.state_id < 0 else record.state_id,
-                                    record.started_ms + shift if record.started_ms else 0.0)
+            restored.peers[name] = (
+                None if record.state_id < 0 else record.state_id,
+                record.started_ms + shift if record.started_ms else 0.0,
+            )
         case records.Node():
             restored.state_id = record.state_id
     return True
--- a/frostport/store/committer.py
+++ b/frostport/store/committer.py
@@ -106,9 +106,16 @@
 class Committer:
     """Owns the engine once it is open. Called on the reactor's side only."""
 
-    def __init__(self, engine: Engine, worker: Worker, clock: Clock, deadlines: Deadlines,
-                 durability: Durability = Durability.ALWAYS, interval_ms: float = 100.0,
-                 stall_ms: float = 1000.0) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        worker: Worker,
+        clock: Clock,
+        deadlines: Deadlines,
+        durability: Durability = Durability.ALWAYS,
+        interval_ms: float = 100.0,
+        stall_ms: float = 1000.0,
+    ) -> None:
         self.engine, self.worker, self.clock, self.deadlines = engine, worker, clock, deadlines
         self.durability, self.interval_ms, self.stall_ms = durability, interval_ms, stall_ms
         self.state = State.OPEN
@@ -158,15 +165,17 @@
 
     def _start(self) -> None:
         self._flush = None
-        if self._running is not None or self.state is State.FAILED \
-                or not (self._groups or self._waiting or self._unsynced):
+        if (
+            self._running is not None
+            or self.state is State.FAILED
+            or not (self._groups or self._waiting or self._unsynced)
+        ):
             return
         groups, count = self._take()
         self._writing = groups
         self._running, self._waiting = self._waiting, []
         self._began = self.clock.now()
-        sync = self.durability is Durability.ALWAYS or (
-            self.durability is Durability.INTERVAL and not groups)
+        sync = self.durability is Durability.ALWAYS or (self.durability is Durability.INTERVAL and not groups)
         self._unsynced = bool(groups) and not sync
         if self._watch is None:
             self._watch = self.deadlines.set(self._began + self.stall_ms, self._stalled)
--- a/frostport/store/engine.py
+++ b/frostport/store/engine.py
@@ -74,8 +74,9 @@
     # Opening and closing
 
     @classmethod
-    def open(cls, folder: Folder, limits: Limits | None = None, store: int | None = None,
-             locked: bool = False) -> Engine:
+    def open(
+        cls, folder: Folder, limits: Limits | None = None, store: int | None = None, locked: bool = False
+    ) -> Engine:
         """Recovers what is there, or makes a store. Raises a StoreError or OSError; nothing is then
         changed. `locked`: the caller holds the folder's lock, and keeps it whatever comes of this."""
         if not locked:
@@ -169,8 +170,10 @@
         if not changes:
             return self.sequence
         first = self.sequence + 1
-        parts = [frames.encode(change, first + number, number == len(changes) - 1)
-                 for number, change in enumerate(changes)]
+        parts = [
+            frames.encode(change, first + number, number == len(changes) - 1)
+            for number, change in enumerate(changes)
+        ]
         growth = 0
         for part, (key, value) in zip(parts, changes, strict=True):
             if len(part) > self.limits.record_bytes:
@@ -180,8 +183,10 @@
         if growth and self.live_bytes + growth > self.limits.store_bytes:
             raise LimitError(f"{self.live_bytes} bytes live, over {self.limits.store_bytes} with the batch")
         # Guards the bound on space: what a step in passing has not cleaned is cleaned before the log grows.
-        while self.total_bytes + size > SPACE * self.live_bytes + SPACE_SEGMENTS * self.limits.segment_bytes \
-                and len(self.segments) > 1:
+        while (
+            self.total_bytes + size > SPACE * self.live_bytes + SPACE_SEGMENTS * self.limits.segment_bytes
+            and len(self.segments) > 1
+        ):
             self._clean()
             first_now = self.sequence + 1
             if first_now != first:  # copies went before: the batch is numbered anew
@@ -192,8 +197,11 @@
     def _needed(self, changes: Sequence[Change]) -> Sequence[Change]:
         """Without deletions of what is not there: they would only fill the log."""
         put = {key for key, value in changes if value is not None}
-        return [change for change in changes
-                if change[1] is not None or change[0] in self.places or change[0] in put]
+        return [
+            change
+            for change in changes
+            if change[1] is not None or change[0] in self.places or change[0] in put
+        ]
 
     def _write(self, changes: Sequence[Change], parts: list[bytes], size: int) -> None:
         active = self.segments[-1]
@@ -279,7 +287,8 @@
     def _unclean(self) -> bool:
         return len(self.segments) > 1 and (
             not self.segments[0].live
-            or self.total_bytes > CLEAN * self.live_bytes + CLEAN_SEGMENTS * self.limits.segment_bytes)
+            or self.total_bytes > CLEAN * self.live_bytes + CLEAN_SEGMENTS * self.limits.segment_bytes
+        )
 
     def _checkpoint_due(self) -> bool:
         return self._since >= self.limits.checkpoint_records and self.index.database is not None
@@ -298,8 +307,10 @@
                 break
         if changes:
             first = self.sequence + 1
-            parts = [frames.encode(change, first + number, number == len(changes) - 1)
-                     for number, change in enumerate(changes)]
+            parts = [
+                frames.encode(change, first + number, number == len(changes) - 1)
+                for number, change in enumerate(changes)
+            ]
             self._write(changes, parts, sum(map(len, parts)))
         if not oldest.live:
             self._remove_oldest()
@@ -331,8 +342,9 @@
         """Guards the index against being ahead of what is durable: the log is synced first."""
         self.sync()
         active = self.segments[-1]
-        self._point = Point(self.store, self.sequence, active.number, active.size, len(self.places),
-                            self.digest)
+        self._point = Point(
+            self.store, self.sequence, active.number, active.size, len(self.places), self.digest
+        )
         self._rows, self._dirty, self._since = iter(self._dirty.items()), {}, 0
 
     def _checkpoint_step(self) -> None:
@@ -426,8 +438,9 @@
     file = folder.open(name, create=True)
     try:
         file.truncate(0)
-        file.append(frames.with_crc(MANIFEST, MANIFEST_MAGIC, frames.FORMAT, store,
-                                    oldest.number, oldest.first))
+        file.append(
+            frames.with_crc(MANIFEST, MANIFEST_MAGIC, frames.FORMAT, store, oldest.number, oldest.first)
+        )
         file.sync()
     finally:
         file.close()
@@ -457,8 +470,12 @@
     file = folder.open(frames.segment_name(last.number))
     try:
         if contents.torn:
-            log.warning("store: %s:%d: torn, %d bytes cut off", frames.segment_name(last.number), last.size,
-                        contents.torn)
+            log.warning(
+                "store: %s:%d: torn, %d bytes cut off",
+                frames.segment_name(last.number),
+                last.size,
+                contents.torn,
+            )
             file.truncate(last.size)
         file.sync()
     finally:
--- a/frostport/store/follow.py
+++ b/frostport/store/follow.py
@@ -47,8 +47,9 @@
             # Cleaned away, or cut back by a writer that had failed: all is read again, and compared.
             before, self.contents = contents.values, self._whole()
             now = self.contents.values
-            return {key: now.get(key) for key in before.keys() | now.keys()
-                    if before.get(key) != now.get(key)}
+            return {
+                key: now.get(key) for key in before.keys() | now.keys() if before.get(key) != now.get(key)
+            }
         changed = {key: contents.values.get(key) for key in contents.changed}
         contents.changed.clear()
         return changed
@@ -62,8 +63,9 @@
             if size < segment.size:
                 raise DamagedError(frames.segment_name(segment.number), size, "cut back")
             if size > segment.size:
-                recovery.follow(contents, segment, file.read_at(segment.size, size - segment.size), 0,
-                                segment.size)
+                recovery.follow(
+                    contents, segment, file.read_at(segment.size, size - segment.size), 0, segment.size
+                )
         finally:
             file.close()
         following = frames.segment_name(segment.number + 1)
--- a/frostport/store/frames.py
+++ b/frostport/store/frames.py
@@ -63,10 +63,10 @@
     end = at + FRAME.size + length
     if end > len(data) or flags & ~LAST:
         return None
-    if google_crc32c.value(data[at + CRC.size:end]) != crc:
+    if google_crc32c.value(data[at + CRC.size : end]) != crc:
         return None
     try:
-        key, value = _decode(data[at + FRAME.size:end])
+        key, value = _decode(data[at + FRAME.size : end])
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
     return Frame(sequence, base + at, FRAME.size + length, bool(flags & LAST), key, value)
@@ -89,8 +89,8 @@
     """The fields between magic and CRC, or None where these are not sound."""
     if len(data) < form.size or data[:8] != magic:
         return None
-    *fields, crc = form.unpack(data[:form.size])
-    return tuple(fields[1:]) if checksum(data[:form.size - 4]) == crc else None
+    *fields, crc = form.unpack(data[: form.size])
+    return tuple(fields[1:]) if checksum(data[: form.size - 4]) == crc else None
 
 
 def segment_head(store: int, number: int, first: int) -> bytes:
--- a/frostport/store/index.py
+++ b/frostport/store/index.py
@@ -22,13 +22,20 @@
 
 NAME = "index.db"
 # The file is no promise: no sync, and a journal only against a process that dies in the middle.
-PRAGMAS = ("page_size=1024", "journal_mode=TRUNCATE", "synchronous=OFF", "locking_mode=EXCLUSIVE",
-           "mmap_size=0", "cell_size_check=ON")
+PRAGMAS = (
+    "page_size=1024",
+    "journal_mode=TRUNCATE",
+    "synchronous=OFF",
+    "locking_mode=EXCLUSIVE",
+    "mmap_size=0",
+    "cell_size_check=ON",
+)
 TABLES = (
     "CREATE TABLE IF NOT EXISTS live (key TEXT PRIMARY KEY, sequence INTEGER, segment INTEGER,"
     " offset INTEGER, size INTEGER) WITHOUT ROWID",
     "CREATE TABLE IF NOT EXISTS point (one INTEGER PRIMARY KEY, store INTEGER, sequence INTEGER,"
-    " segment INTEGER, offset INTEGER, count INTEGER, digest TEXT, crc INTEGER)")
+    " segment INTEGER, offset INTEGER, count INTEGER, digest TEXT, crc INTEGER)",
+)
 
 
 # Where a live record stands: sequence, segment, offset, size. A plain tuple, which the collector of cycles
@@ -97,7 +104,8 @@
             return None
         try:
             row = self.database.execute(
-                "SELECT store, sequence, segment, offset, count, digest, crc FROM point").fetchone()
+                "SELECT store, sequence, segment, offset, count, digest, crc FROM point"
+            ).fetchone()
             if row is None:
                 return None
             # The digest outgrows SQLite's integers, and is kept as text.
@@ -120,7 +128,8 @@
             rows: dict[str, Place] = {}
             total = 0
             for key, sequence, segment, offset, size in self.database.execute(
-                    "SELECT key, sequence, segment, offset, size FROM live"):
+                "SELECT key, sequence, segment, offset, size FROM live"
+            ):
                 if not isinstance(key, str) or not isinstance(sequence, int):
                     raise ValueError("a row is damaged")
                 rows[key] = (sequence, segment, offset, size)
@@ -157,8 +166,10 @@
         try:
             if not self.writing:
                 self.database.execute("BEGIN")
-            self.database.execute("INSERT OR REPLACE INTO point VALUES (1, ?, ?, ?, ?, ?, ?, ?)",
-                                  (*point.fields()[:5], str(point.digest), point.crc()))
+            self.database.execute(
+                "INSERT OR REPLACE INTO point VALUES (1, ?, ?, ?, ?, ?, ?, ?)",
+                (*point.fields()[:5], str(point.digest), point.crc()),
+            )
             self.database.execute("COMMIT")
             self.writing = False
             self.folder.committed(NAME, self.database)
--- a/frostport/store/mark.py
+++ b/frostport/store/mark.py
@@ -17,10 +17,13 @@
 
 def read(data: bytes) -> tuple[int, int, int] | None:
     """Store id, sequence and number of the later sound place; None where neither is sound."""
-    places = [read_fixed(MARK, MARK_MAGIC, data[at:at + MARK.size]) for at in (0, MARK.size)]
+    places = [read_fixed(MARK, MARK_MAGIC, data[at : at + MARK.size]) for at in (0, MARK.size)]
     sound = [(*place, number) for number, place in enumerate(places) if place is not None]
-    return max(((store, sequence, number) for store, sequence, number in sound),
-               key=lambda place: place[1], default=None)
+    return max(
+        ((store, sequence, number) for store, sequence, number in sound),
+        key=lambda place: place[1],
+        default=None,
+    )
 
 
 class Mark:
--- a/frostport/store/recovery.py
+++ b/frostport/store/recovery.py
@@ -63,9 +63,13 @@
     def ended(self, sequence: int) -> None:
         """A batch is taken in. Where the checkpoint was made, the index either agrees or is in doubt."""
         self.sequence = sequence
-        if self.point is not None and sequence == self.point.sequence and self.from_index is None \
-                and self.point.count == len(self.places) \
-                and self.point.digest == sum(grain(place[SEQUENCE]) for place in self.places.values()):
+        if (
+            self.point is not None
+            and sequence == self.point.sequence
+            and self.from_index is None
+            and self.point.count == len(self.places)
+            and self.point.digest == sum(grain(place[SEQUENCE]) for place in self.places.values())
+        ):
             self.from_index = self.point
             self.changed.clear()
 
@@ -80,8 +84,11 @@
             raise DamagedError(MANIFEST_NAME, -1, "missing, and there is a log")
         return None
     data = whole_file(folder, MANIFEST_NAME)
-    if data[:8] == frames.MANIFEST_MAGIC and len(data) >= 12 \
-            and (written := int.from_bytes(data[8:12], "little")) != frames.FORMAT:
+    if (
+        data[:8] == frames.MANIFEST_MAGIC
+        and len(data) >= 12
+        and (written := int.from_bytes(data[8:12], "little")) != frames.FORMAT
+    ):
         raise UnknownFormatError(f"{MANIFEST_NAME}:8: format {written}, only {frames.FORMAT} is known here")
     fields = frames.read_fixed(MANIFEST, frames.MANIFEST_MAGIC, data)
     if fields is None or len(data) != MANIFEST.size:
@@ -150,9 +157,11 @@
         index.lose("in doubt, made again from the log")
     if contents.sequence < contents.acknowledged:
         last = contents.segments[-1]
-        raise DamagedError(frames.segment_name(last.number), last.size,
-                           f"the log ends at record {contents.sequence}, but {contents.acknowledged} "
-                           "was acknowledged")
+        raise DamagedError(
+            frames.segment_name(last.number),
+            last.size,
+            f"the log ends at record {contents.sequence}, but {contents.acknowledged} was acknowledged",
+        )
     for key, place in contents.places.items():
         contents.segments[place[SEGMENT] - oldest].live[key] = None
     return contents
@@ -204,8 +213,9 @@
             batch.clear()
 
 
-def by_index(folder: Folder, contents: Contents, listed: list[int], first: int, point: Point,
-             rows: dict[str, Place]) -> bool:
+def by_index(
+    folder: Folder, contents: Contents, listed: list[int], first: int, point: Point, rows: dict[str, Place]
+) -> bool:
     """The live records where the index says they are, then the log's end after it; False where it is in
     doubt."""
     if point.segment not in listed or point.sequence < first - 1:
@@ -215,7 +225,7 @@
         wanted.setdefault(place[SEGMENT], []).append((place[OFFSET], key, place))
     if not wanted.keys() <= set(listed) or sum(map(len, wanted.values())) != len(rows):
         return False
-    for number in listed[:listed.index(point.segment) + 1]:
+    for number in listed[: listed.index(point.segment) + 1]:
         name = frames.segment_name(number)
         data = whole_file(folder, name)
         begins = head(folder, contents, number, data)
@@ -226,8 +236,13 @@
         for offset, key, place in sorted(wanted.get(number, ())):
             # Guards against a row that has been damaged into something else that an index could hold.
             frame = frames.decode(data, offset) if isinstance(offset, int) and offset >= 0 else None
-            if frame is None or frame.key != key or frame.value is None or frame.sequence > point.sequence \
-                    or (frame.sequence, frame.size) != (place[SEQUENCE], place[SIZE]):
+            if (
+                frame is None
+                or frame.key != key
+                or frame.value is None
+                or frame.sequence > point.sequence
+                or (frame.sequence, frame.size) != (place[SEQUENCE], place[SIZE])
+            ):
                 return False
             contents.places[key], contents.values[key] = place, frame.value
     if point.offset > len(data):
--- a/frostport/store/tools.py
+++ b/frostport/store/tools.py
@@ -68,9 +68,15 @@
 
 def verify(path: pathlib.Path) -> Verified:
     found = contents(path)
-    return Verified(len(found.places), len(found.segments), sum(segment.size for segment in found.segments),
-                    sum(place[SIZE] for place in found.places.values()), found.sequence, found.acknowledged,
-                    found.torn)
+    return Verified(
+        len(found.places),
+        len(found.segments),
+        sum(segment.size for segment in found.segments),
+        sum(place[SIZE] for place in found.places.values()),
+        found.sequence,
+        found.acknowledged,
+        found.torn,
+    )
 
 
 def dump(path: pathlib.Path) -> Iterator[tuple[str, bytes]]:
@@ -187,8 +193,10 @@
                 drop_batch(salvage, name, batch)
             lost = frame.sequence - salvage.sequence - 1
             if lost and salvage.sequence:
-                salvage.dropped.append(f"{name}:{at}: {lost} records before {frame.sequence} are lost: "
-                                       "what they changed or deleted is as it was before them")
+                salvage.dropped.append(
+                    f"{name}:{at}: {lost} records before {frame.sequence} are lost: "
+                    "what they changed or deleted is as it was before them"
+                )
             salvage.sequence = frame.sequence
             batch.append(frame)
             at += frame.size
@@ -204,14 +212,17 @@
     if place is None:
         salvage.dropped.append(f"{mark.NAME}:0: not readable: what was acknowledged can't be checked")
     elif place[1] > salvage.sequence:
-        salvage.dropped.append(f"{mark.NAME}:0: records {salvage.sequence + 1} to {place[1]} "
-                               "were acknowledged and are lost")
+        salvage.dropped.append(
+            f"{mark.NAME}:0: records {salvage.sequence + 1} to {place[1]} were acknowledged and are lost"
+        )
     return salvage
 
 
 def drop_batch(salvage: Salvage, name: str, batch: list[Frame]) -> None:
-    salvage.dropped.append(f"{name}: records {batch[0].sequence} to {batch[-1].sequence}: "
-                           "a batch without its end: " + ", ".join(frame.key for frame in batch))
+    salvage.dropped.append(
+        f"{name}: records {batch[0].sequence} to {batch[-1].sequence}: "
+        "a batch without its end: " + ", ".join(frame.key for frame in batch)
+    )
     batch.clear()
 
 
@@ -219,8 +230,12 @@
     """Where the next sound frame begins, or the end."""
     while at < len(data) - FRAME.size:
         _, length, number, flags = FRAME.unpack_from(data, at)
-        if flags <= frames.LAST and number > sequence and at + FRAME.size + length <= len(data) \
-                and frames.decode(data, at) is not None:
+        if (
+            flags <= frames.LAST
+            and number > sequence
+            and at + FRAME.size + length <= len(data)
+            and frames.decode(data, at) is not None
+        ):
             return at
         at += 1
     return len(data)
@@ -235,9 +250,11 @@
     changes = list(salvage.values.items())
     sequence = salvage.sequence
     for at in range(0, len(changes), BATCH):
-        part = changes[at:at + BATCH]
-        data = b"".join(frames.encode(change, sequence + 1 + number, number == len(part) - 1)
-                        for number, change in enumerate(part))
+        part = changes[at : at + BATCH]
+        data = b"".join(
+            frames.encode(change, sequence + 1 + number, number == len(part) - 1)
+            for number, change in enumerate(part)
+        )
         sequence += len(part)
         file.append(data)
     file.sync()
--- a/frostport/work.py
+++ b/frostport/work.py
@@ -89,8 +89,9 @@
 
     def start(self) -> None:
         fleet = self.fleet
-        self.keeper = Keeper(fleet.config.agent, fleet.swim.info.life, fleet.clock.now(), fleet.whole,
-                             fleet.config.work)
+        self.keeper = Keeper(
+            fleet.config.agent, fleet.swim.info.life, fleet.clock.now(), fleet.whole, fleet.config.work
+        )
         self._read()
         self._turn()
 
@@ -118,8 +119,14 @@
         for ticket in self.plan.tickets:
             if before.get(ticket.number) is not ticket.state:
                 log.info("work: %s %s: %s", ticket.name, ticket.state.value, self.plan.why(ticket))
-                self.fleet.record.event("ticket", index=entry.index, number=ticket.number,
-                                        machine=ticket.name, state=ticket.state.value, forced=ticket.forced)
+                self.fleet.record.event(
+                    "ticket",
+                    index=entry.index,
+                    number=ticket.number,
+                    machine=ticket.name,
+                    state=ticket.state.value,
+                    forced=ticket.forced,
+                )
         if self._soon is None:  # one look for all that is applied in a turn
             self._soon = self.fleet.deadlines.set(self.fleet.clock.now(), self.look)
 
@@ -144,8 +151,9 @@
         agent = self.agent
         assert agent is not None
         if not isinstance(action, Say):
-            self.fleet.record.event("keeper", does=type(action).__name__.lower(),
-                                    server=getattr(action, "server", ""))
+            self.fleet.record.event(
+                "keeper", does=type(action).__name__.lower(), server=getattr(action, "server", "")
+            )
         match action:
             case Say(word):
                 if self.on_disk is None and self.fleet.raft.leader:  # else it would only pile up here
@@ -180,26 +188,51 @@
             for request in agent.broker.requests:
                 if request.attempt is not None:
                     busy[request.attempt.server] = busy.get(request.attempt.server, 0) + 1
-        members = {fleet.config.agent: Member(
-            fleet.config.zone, fleet.swim.info.life, agent.lifecycle.phase is Phase.SERVING, False,
-            fleet.config.agent in fleet.raft.voters)}
+        members = {
+            fleet.config.agent: Member(
+                fleet.config.zone,
+                fleet.swim.info.life,
+                agent.lifecycle.phase is Phase.SERVING,
+                False,
+                fleet.config.agent in fleet.raft.voters,
+            )
+        }
         for member in fleet.swim.table:
             members[member.name] = Member(
-                member.info.zone, member.info.life,
+                member.info.zone,
+                member.info.life,
                 member.state <= Seen.SUSPECT and member.info.phase == Phase.SERVING.value,
-                member.state is Seen.LEFT, member.name in fleet.raft.voters)
+                member.state is Seen.LEFT,
+                member.name in fleet.raft.voters,
+            )
         return Local(
-            fleet.raft.role is Role.LEADER, fleet.raft.term, self.on_disk is None,
-            agent.lifecycle.phase.value, agent.empty(), self._rate(), busy,
-            frozenset(server for server in self.keeper.holding
-                      if server in rules.servers and not rules.drained(server, now)),
-            frozenset(server for server, reasons in agent.figures.avoiding.items()
-                      if reasons & {"connection", "operator"}),
+            fleet.raft.role is Role.LEADER,
+            fleet.raft.term,
+            self.on_disk is None,
+            agent.lifecycle.phase.value,
+            agent.empty(),
+            self._rate(),
+            busy,
+            frozenset(
+                server
+                for server in self.keeper.holding
+                if server in rules.servers and not rules.drained(server, now)
+            ),
+            frozenset(
+                server
+                for server, reasons in agent.figures.avoiding.items()
+                if reasons & {"connection", "operator"}
+            ),
             members,
-            {server.address: words.Server(server.address, server.zone, server.nominal,
-                                          server.state is Listing.READY)
-             for server in rotation.last.values() if server.state is not Listing.GONE},
-            agent.able())
+            {
+                server.address: words.Server(
+                    server.address, server.zone, server.nominal, server.state is Listing.READY
+                )
+                for server in rotation.last.values()
+                if server.state is not Listing.GONE
+            },
+            agent.able(),
+        )
 
     def _rate(self) -> float:
         """Calls a second that were answered here, in the last minute."""
--- a/standins/dark_site.py
+++ b/standins/dark_site.py
@@ -127,8 +127,15 @@
 class CostlyLobby(Lobby, Costly):
     """A lobby server for all agents."""
 
-    def __init__(self, name: str, books: Books, chance: random.Random, set_up_ms: float,
-                 handshake_ms: float = 1.0, most_ms: float = 1000.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        books: Books,
+        chance: random.Random,
+        set_up_ms: float,
+        handshake_ms: float = 1.0,
+        most_ms: float = 1000.0,
+    ) -> None:
         Lobby.__init__(self, name, books, chance, busy=0.0)
         Costly.__init__(self, handshake_ms, most_ms)
         self.set_up_ms = set_up_ms
@@ -145,16 +152,28 @@
 class DarkSite(Outside):
     """What all agents of a rig share; clients call each agent at its own port."""
 
-    def __init__(self, callers: int = 1, servers: int = 3, ask_ms: float = 50.0,
-                 gap_ms: float = 100.0) -> None:
+    def __init__(
+        self, callers: int = 1, servers: int = 3, ask_ms: float = 50.0, gap_ms: float = 100.0
+    ) -> None:
         super().__init__(callers)
         self.gap_ms = gap_ms
-        self.hosts = [{"host": f"h{number}", "site": "east", "class": "std", "block": number,
-                       "health": "ready", "share": 100, "born_ms": 0.0} for number in range(servers)]
+        self.hosts = [
+            {
+                "host": f"h{number}",
+                "site": "east",
+                "class": "std",
+                "block": number,
+                "health": "ready",
+                "share": 100,
+                "born_ms": 0.0,
+            }
+            for number in range(servers)
+        ]
         self.costly = self.list = CostlyList(ask_ms)
         self.list.tell(self.hosts)
-        self.shared = [CostlyLobby(f"h{number}", self.books, random.Random(number), 1.0)
-                       for number in range(servers)]
+        self.shared = [
+            CostlyLobby(f"h{number}", self.books, random.Random(number), 1.0) for number in range(servers)
+        ]
 
     async def join(self, name: str, listen: int, chance: random.Random) -> tuple[dict[str, str], str]:
         if not self.costly.port:
@@ -163,8 +182,12 @@
             await self.costly.open()
             self.lobbies += self.shared
         first = len(self.callers)
-        self.callers += [Caller(first + number, self.books, random.Random(chance.random()), lambda: listen,
-                                gap_ms=self.gap_ms) for number in range(self.each)]
+        self.callers += [
+            Caller(
+                first + number, self.books, random.Random(chance.random()), lambda: listen, gap_ms=self.gap_ms
+            )
+            for number in range(self.each)
+        ]
         return self.costly.dials, f"127.0.0.1:{self.costly.port}"
 
     def parties(self) -> dict[str, Costly]:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -96,7 +96,8 @@
                 relay._pass(BACK, data, lambda: relay._return(data, sender))
 
         transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            Side, remote_addr=self.target)
+            Side, remote_addr=self.target
+        )
         before = self.towards.setdefault(sender, transport)
         if before is not transport:
             transport.close()
@@ -137,8 +138,10 @@
             return
         pair = (writer, far_writer)
         self.pairs.add(pair)
-        both = [asyncio.create_task(self._copy(FORWARD, reader, far_writer)),
-                asyncio.create_task(self._copy(BACK, far_reader, writer))]
+        both = [
+            asyncio.create_task(self._copy(FORWARD, reader, far_writer)),
+            asyncio.create_task(self._copy(BACK, far_reader, writer)),
+        ]
         self.tasks.update(both)
         await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
         for task in both:
--- a/standins/files.py
+++ b/standins/files.py
@@ -27,8 +27,8 @@
         self.pending: list[tuple[int, bytes] | int] = []  # a write at an offset, or a truncation
 
     def write(self, offset: int, data: bytes) -> None:
-        self.now[len(self.now):] = bytes(max(0, offset - len(self.now)))
-        self.now[offset:offset + len(data)] = data
+        self.now[len(self.now) :] = bytes(max(0, offset - len(self.now)))
+        self.now[offset : offset + len(data)] = data
         self.pending.append((offset, data))
 
     def truncate(self, size: int) -> None:
@@ -46,17 +46,17 @@
         if how == "all":
             return Node(bytes(self.now))
         kept = Node(self.durable)
-        steps = self.pending if how == "blocks" else self.pending[:chance.randint(0, len(self.pending))]
+        steps = self.pending if how == "blocks" else self.pending[: chance.randint(0, len(self.pending))]
         for number, step in enumerate(steps):
             if isinstance(step, int):
                 kept.truncate(step)
             elif how == "prefix":
                 last = number == len(steps) - 1
-                kept.write(step[0], step[1][:chance.randint(0, len(step[1])) if last else None])
+                kept.write(step[0], step[1][: chance.randint(0, len(step[1])) if last else None])
             else:
                 for at in range(0, len(step[1]), BLOCK):
                     if chance.random() < 0.6:
-                        kept.write(step[0] + at, step[1][at:at + BLOCK])
+                        kept.write(step[0] + at, step[1][at : at + BLOCK])
         return Node(bytes(kept.now))
 
 
@@ -68,19 +68,19 @@
         part = self.folder.step("append", self.name)
         end = len(self.node.now)
         if part is not None:  # a fault: a part of it is written all the same
-            self.node.write(end, data[:part(len(data))])
+            self.node.write(end, data[: part(len(data))])
             raise self.folder.raises()
         self.node.write(end, data)
 
     def write_at(self, offset: int, data: bytes) -> None:
         part = self.folder.step("write", self.name)
         if part is not None:
-            self.node.write(offset, data[:part(len(data))])
+            self.node.write(offset, data[: part(len(data))])
             raise self.folder.raises()
         self.node.write(offset, data)
 
     def read_at(self, offset: int, size: int) -> bytes:
-        return bytes(self.node.now[offset:offset + size])
+        return bytes(self.node.now[offset : offset + size])
 
     def size(self) -> int:
         return len(self.node.now)
@@ -134,7 +134,7 @@
         """The folder as it is found after the power was lost now."""
         found = MemoryFolder(chance=chance)
         names = dict(self.durable)
-        kept = self.renames[:chance.randint(0, len(self.renames))]
+        kept = self.renames[: chance.randint(0, len(self.renames))]
         if chance.random() < 0.5:  # in any order: no system promises that one goes before the other
             kept = [rename for rename in self.renames if chance.random() < 0.5]
         for old, new, node in kept:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -41,8 +41,18 @@
         self.each = callers
         self.relays: dict[tuple[str, str], StreamRelay] = {}
         self.tasks: list[asyncio.Task[None]] = []
-        self.hosts = [{"host": f"h{number}", "site": "east", "class": "std", "block": number,
-                       "health": "ready", "share": 100, "born_ms": 0.0} for number in (0, 1)]
+        self.hosts = [
+            {
+                "host": f"h{number}",
+                "site": "east",
+                "class": "std",
+                "block": number,
+                "health": "ready",
+                "share": 100,
+                "born_ms": 0.0,
+            }
+            for number in (0, 1)
+        ]
         self.list.tell(self.hosts)
 
     async def _relay(self, name: str, what: str, port: int, chance: random.Random) -> str:
@@ -60,8 +70,10 @@
         address = await self._relay(name, "clients", listen, chance)
         port = int(address.rpartition(":")[2])
         first = len(self.callers)
-        self.callers += [Caller(first + number, self.books, random.Random(chance.random()), lambda: port)
-                         for number in range(self.each)]
+        self.callers += [
+            Caller(first + number, self.books, random.Random(chance.random()), lambda: port)
+            for number in range(self.each)
+        ]
         return dials, told
 
     def call(self) -> None:
@@ -70,6 +82,7 @@
     def balance(self, rig: Rig) -> None:
         """As a balancer before the agents does: it asks each whether it is ready, and sends nothing new to
         one that is not."""
+
         async def watch(name: str, callers: list[Caller]) -> None:
             while True:
                 ready = (await rig.ask(name, "ready"))[:1] == ["OK yes"]
@@ -77,8 +90,10 @@
                     caller.elsewhere = not ready and caller.heeds
                 await asyncio.sleep(0.05)
 
-        self.tasks += [asyncio.create_task(watch(name, self.callers[at * self.each:(at + 1) * self.each]))
-                       for at, name in enumerate(rig.names)]
+        self.tasks += [
+            asyncio.create_task(watch(name, self.callers[at * self.each : (at + 1) * self.each]))
+            for at, name in enumerate(rig.names)
+        ]
 
     def heal(self) -> None:
         for relay in self.relays.values():
@@ -96,9 +111,18 @@
 class Rig:
     """Agents `n0`, `n1` ...; the first `voters` of them vote. `machines`: faults of standins/faulty.py."""
 
-    def __init__(self, folder: pathlib.Path, count: int, voters: int, seed: int, relays: bool = True,
-                 outside: Outside | None = None, machines: dict[str, dict[str, Any]] | None = None,
-                 top: dict[str, Any] | None = None, **fleet: Any) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        count: int,
+        voters: int,
+        seed: int,
+        relays: bool = True,
+        outside: Outside | None = None,
+        machines: dict[str, dict[str, Any]] | None = None,
+        top: dict[str, Any] | None = None,
+        **fleet: Any,
+    ) -> None:
         """`top`: more of each agent's configuration; `fleet`: more of its `fleet`."""
         self.top = top or {}
         self.outside, self.machines = outside, machines or {}
@@ -107,8 +131,9 @@
         self.names = [f"n{number}" for number in range(count)]
         self.voters, self.more, self.relayed = self.names[:voters], fleet, relays
         ports = iter(free_ports(4 * count))
-        self.ports = {name: {what: next(ports) for what in ("listen", "door", "gossip", "link")}
-                      for name in self.names}
+        self.ports = {
+            name: {what: next(ports) for what in ("listen", "door", "gossip", "link")} for name in self.names
+        }
         self.across = False  # relays only between agents of different zones
         self.relays: dict[tuple[str, str], tuple[DatagramRelay, StreamRelay]] = {}
         self.programs: dict[str, asyncio.subprocess.Process] = {}
@@ -124,15 +149,18 @@
             for second in self.names:
                 if first != second and (not self.across or self.zone(first) != self.zone(second)):
                     chance = random.Random(self.chance.random())
-                    pair = (DatagramRelay(f"{first}>{second}", self.at(second, "gossip"), chance),
-                            StreamRelay(f"{first}>{second}", self.at(second, "link"), chance))
+                    pair = (
+                        DatagramRelay(f"{first}>{second}", self.at(second, "gossip"), chance),
+                        StreamRelay(f"{first}>{second}", self.at(second, "link"), chance),
+                    )
                     for relay in pair:
                         await relay.start()
                     self.relays[first, second] = pair
         for name in self.names if self.outside is not None else ():
             assert self.outside is not None
             self.reached[name] = await self.outside.join(
-                name, self.ports[name]["listen"], random.Random(self.chance.random()))
+                name, self.ports[name]["listen"], random.Random(self.chance.random())
+            )
         for name in self.names:
             await self.start(name)
         return self
@@ -166,30 +194,46 @@
                 gossip, link = self.relays[name, other]
                 routes[self.address(other, "gossip")] = gossip.address
                 routes[self.address(other, "link")] = link.address
-        fleet = {"name": "test", "key": "00" * 16, "gossip": self.address(name, "gossip"),
-                 "link": self.address(name, "link"), "path": f"{name}.fleet", "voters": self.voters,
-                 "seeds": [self.address(other, "gossip") for other in self.names[:3]],
-                 "record": f"{name}.jsonl", "zone": self.zone(name), "routes": routes,
-                 **self.more}
-        record = {**configuration(self.ports[name]["listen"], []), "name": name, "fleet": fleet,
-                  "operator": self.address(name, "door")}
+        fleet = {
+            "name": "test",
+            "key": "00" * 16,
+            "gossip": self.address(name, "gossip"),
+            "link": self.address(name, "link"),
+            "path": f"{name}.fleet",
+            "voters": self.voters,
+            "seeds": [self.address(other, "gossip") for other in self.names[:3]],
+            "record": f"{name}.jsonl",
+            "zone": self.zone(name),
+            "routes": routes,
+            **self.more,
+        }
+        record = {
+            **configuration(self.ports[name]["listen"], []),
+            "name": name,
+            "fleet": fleet,
+            "operator": self.address(name, "door"),
+        }
         if self.outside is not None:
             dials, told = self.reached[name]
             first = self.outside.list.event(1, dials)
-            record.update(bus=told, known={"offset": 1, "batch": [json.loads(first)]},
-                          store={"path": f"{name}.store"})
+            record.update(
+                bus=told, known={"offset": 1, "batch": [json.loads(first)]}, store={"path": f"{name}.store"}
+            )
         record.update(self.top)
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(record), encoding="utf-8")
         how = ["standins.faulty", json.dumps(self.machines[name])] if name in self.machines else ["frostport"]
         self.programs[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *how, "serve", "--config", str(path), stderr=self.log)
+            sys.executable, "-m", *how, "serve", "--config", str(path), stderr=self.log
+        )
 
     def with_disks(self) -> None:
         """From each agent's next start on, its disk can be filled."""
         for name in self.names:
-            self.machines[name] = {"disk": str(self.folder / f"{name}.fleet"),
-                                   "full": str(self.folder / f"{name}.full")}
+            self.machines[name] = {
+                "disk": str(self.folder / f"{name}.fleet"),
+                "full": str(self.folder / f"{name}.full"),
+            }
 
     def fill(self, name: str) -> None:
         self.say(f"the disk of {name} is full")
@@ -210,8 +254,11 @@
 
     def way(self, sender: str, to: str) -> list[Way]:
         """All that carries what `sender` says to `to`: its own relays forward, the other's back."""
-        return [relay.ways[direction] for pair, direction in (((sender, to), FORWARD), ((to, sender), BACK))
-                for relay in self.relays[pair]]
+        return [
+            relay.ways[direction]
+            for pair, direction in (((sender, to), FORWARD), ((to, sender), BACK))
+            for relay in self.relays[pair]
+        ]
 
     def cut(self, sender: str, to: str) -> None:
         self.say(f"cut {sender} > {to}")
@@ -263,20 +310,35 @@
         """Puts as many entries into the logs of the voters, which are down, as if they had settled them."""
         self.say(f"{count} entries more")
         engines = [Engine.open(DiskFolder(self.folder / f"{name}.fleet"), Limits()) for name in self.voters]
-        logs = [Log({key: value for key, value in engine.take_recovered().items() if key.startswith("raft/")})
-                for engine in engines]
+        logs = [
+            Log({key: value for key, value in engine.take_recovered().items() if key.startswith("raft/")})
+            for engine in engines
+        ]
         longest = max(logs, key=lambda log: (log.last_term, log.last_index))
         first, term, whole = longest.last_index + 1, longest.last_term, list(longest.entries)
         for engine, log in zip(engines, logs, strict=True):
             # As the leader would: what differs from the longest is cut, what is missing added.
-            same = next((entry.index for entry in log.entries
-                         if longest.term_at(entry.index) != entry.term), log.last_index + 1)
+            same = next(
+                (entry.index for entry in log.entries if longest.term_at(entry.index) != entry.term),
+                log.last_index + 1,
+            )
             engine.append(log.cut(same) + log.append([entry for entry in whole if entry.index >= same]))
             for at in range(0, count, 1000):
-                engine.append(log.append([
-                    Entry(first + number, term, f"grown/1#{number}", "note", 1,
-                          msgspec.msgpack.encode(Note(f"a note of usual length, number {number}")))
-                    for number in range(at, min(at + 1000, count))]))
+                engine.append(
+                    log.append(
+                        [
+                            Entry(
+                                first + number,
+                                term,
+                                f"grown/1#{number}",
+                                "note",
+                                1,
+                                msgspec.msgpack.encode(Note(f"a note of usual length, number {number}")),
+                            )
+                            for number in range(at, min(at + 1000, count))
+                        ]
+                    )
+                )
             engine.sync()
             engine.close()
 
@@ -324,8 +386,10 @@
             if await done():
                 return
             await asyncio.sleep(0.1)
-        said = {name: (await self.ask(name, "agreed"))[:1] or f"ended: {self.programs[name].returncode}"
-                for name in self.names[:7]}
+        said = {
+            name: (await self.ask(name, "agreed"))[:1] or f"ended: {self.programs[name].returncode}"
+            for name in self.names[:7]
+        }
         gone = {name: program.returncode for name, program in self.programs.items() if program.returncode}
         said.update(gone=str(gone))
         raise AssertionError(f"never: {what}; seed {self.seed}; {self.history}; {said}") from None
@@ -347,10 +411,12 @@
 
     async def together(self, count: int) -> None:
         """All agents see each other alive, and have applied the same, at least so many commands."""
+
         async def same() -> bool:
             said = [await self.agreed(name) for name in self.names]
-            return (all(said) and len({told["digest"] for told in said}) == 1
-                    and int(said[0]["count"]) >= count)
+            return (
+                all(said) and len({told["digest"] for told in said}) == 1 and int(said[0]["count"]) >= count
+            )
 
         async def seen() -> bool:
             for name in self.names:
--- a/standins/lists.py
+++ b/standins/lists.py
@@ -27,8 +27,12 @@
 
     def event(self, number: int, dials: dict[str, str]) -> bytes:
         hosts = [{**host, "dial": dials[host["host"]]} for host in self.events[number - 1]]
-        return json.dumps({"offset": number, "topology": {
-            "seq": number, "whole": number == 1, "hosts": hosts}}).encode() + b"\n"
+        return (
+            json.dumps(
+                {"offset": number, "topology": {"seq": number, "whole": number == 1, "hosts": hosts}}
+            ).encode()
+            + b"\n"
+        )
 
     async def start(self, name: str, dials: dict[str, str]) -> int:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/standins/lobby.py
+++ b/standins/lobby.py
@@ -68,8 +68,16 @@
 class Lobby:
     """One lobby server: answers after a while, tells lost answers again on the next connection."""
 
-    def __init__(self, name: str, books: Books, chance: random.Random, longest_ms: float = 10.0,
-                 busy: float = 0.1, ends: float = 0.0, stands_ms: float = 60.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        books: Books,
+        chance: random.Random,
+        longest_ms: float = 10.0,
+        busy: float = 0.1,
+        ends: float = 0.0,
+        stands_ms: float = 60.0,
+    ) -> None:
         self.name, self.books, self.chance = name, books, chance
         self.longest_ms, self.busy = longest_ms, busy
         self.ends, self.stands_ms = ends, stands_ms  # the share it ends itself, and how late
@@ -100,8 +108,13 @@
                         self.began()
                         self.books.set_up(self.name, message["tag"])
                         out.add(message["tag"])
-                        loop.call_later(self.chance.uniform(0.0, self.longest_ms) / 1000.0,
-                                        self.answer, writer, message["tag"], out)
+                        loop.call_later(
+                            self.chance.uniform(0.0, self.longest_ms) / 1000.0,
+                            self.answer,
+                            writer,
+                            message["tag"],
+                            out,
+                        )
                     case "FINISHED":
                         self.ended.discard(message["tag"])
                     case "FINISH":
@@ -135,7 +148,8 @@
             self.answered.setdefault(writer, []).append((asyncio.get_running_loop().time(), call))
             if self.chance.random() < self.ends:
                 asyncio.get_running_loop().call_later(
-                    self.chance.uniform(0.0, self.stands_ms) / 1000.0, self.end, call)
+                    self.chance.uniform(0.0, self.stands_ms) / 1000.0, self.end, call
+                )
 
     def end(self, call: str) -> None:
         """Ends a call that stands: on the newest connection, and on each later one until it is confirmed."""
@@ -159,9 +173,17 @@
     """One client: sets calls up, releases them, and after a broken connection repeats some and forgets
     others."""
 
-    def __init__(self, name: int, books: Books, chance: random.Random, port: Callable[[], int],
-                 gap_ms: float = 10.0, hold_ms: float = 100.0, repeat: float = 0.5,
-                 address: str = "127.0.0.1") -> None:
+    def __init__(
+        self,
+        name: int,
+        books: Books,
+        chance: random.Random,
+        port: Callable[[], int],
+        gap_ms: float = 10.0,
+        hold_ms: float = 100.0,
+        repeat: float = 0.5,
+        address: str = "127.0.0.1",
+    ) -> None:
         self.address = address  # that it connects from
         self.connects = 0
         self.name, self.books, self.chance, self.port = name, books, chance, port
@@ -184,7 +206,8 @@
                 continue
             try:
                 reader, self.writer = await asyncio.open_connection(
-                    "127.0.0.1", self.port(), local_addr=(self.address, 0))
+                    "127.0.0.1", self.port(), local_addr=(self.address, 0)
+                )
                 self.connects += 1
             except ConnectionError:
                 await asyncio.sleep(0.01)
@@ -260,17 +283,47 @@
 
 def configuration(listen: int, ports: list[int], **more: Any) -> dict[str, Any]:
     """The agent's: one class of calls, these lobby servers, no event bus."""
-    hosts = [{"host": f"h{number}", "dial": f"127.0.0.1:{port}", "site": "east", "class": "std",
-              "block": number, "health": "ready", "share": 100, "born_ms": 0.0}
-             for number, port in enumerate(ports)]
+    hosts = [
+        {
+            "host": f"h{number}",
+            "dial": f"127.0.0.1:{port}",
+            "site": "east",
+            "class": "std",
+            "block": number,
+            "health": "ready",
+            "share": 100,
+            "born_ms": 0.0,
+        }
+        for number, port in enumerate(ports)
+    ]
     event = {"offset": 1, "topology": {"seq": 1, "whole": True, "hosts": hosts}}
     settings = {
         "services": [{"name": "race", "aim-ms": 1500.0, "deadline-ms": 9000.0, "late-worth": 0.1}],
         "caps": {"try-limit": 4, "may-cancel": True, "connect-timeout-ms": 500.0},
-        "family-info": {"topology": "pools", "pools-by-class": [list(range(len(ports)))],
-                        "holding-ms": [100.0], "release-guard-ms": 500.0, "retransmit-ms": 400.0},
-        "report": {"columns": ["free", "size", "can_take"]}, "me": 0, "siblings": 1,
-        "rules": {"drain-grace-ms": 2000.0, "cold-from": 0.34, "cold-ms": 15000.0, "fall-multiple": 3.0,
-                  "fall-ms": 2000.0}}
-    return {"name": "n0", "listen": f"127.0.0.1:{listen}", "seed": "0a", "limits": {"sockets": 256},
-            "known": {"offset": 1, "batch": [event]}, "settings": settings, **more}
+        "family-info": {
+            "topology": "pools",
+            "pools-by-class": [list(range(len(ports)))],
+            "holding-ms": [100.0],
+            "release-guard-ms": 500.0,
+            "retransmit-ms": 400.0,
+        },
+        "report": {"columns": ["free", "size", "can_take"]},
+        "me": 0,
+        "siblings": 1,
+        "rules": {
+            "drain-grace-ms": 2000.0,
+            "cold-from": 0.34,
+            "cold-ms": 15000.0,
+            "fall-multiple": 3.0,
+            "fall-ms": 2000.0,
+        },
+    }
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{listen}",
+        "seed": "0a",
+        "limits": {"sockets": 256},
+        "known": {"offset": 1, "batch": [event]},
+        "settings": settings,
+        **more,
+    }
--- a/standins/simulated.py
+++ b/standins/simulated.py
@@ -54,10 +54,18 @@
         """A process of this name begins; a `skew` moves the clock that its incarnation comes from."""
         address = address or name
         seeds = ["a0", "a1", "a2"]
-        info = Info(address, self.chance.getrandbits(48), f"zone-{int(name[1:]) % 3}", "serving", "1",
-                    address)
-        agent = Swim(name, info, int(1e12 + self.now + skew), seeds, self.settings,
-                     random.Random(self.chance.random()), follows)
+        info = Info(
+            address, self.chance.getrandbits(48), f"zone-{int(name[1:]) % 3}", "serving", "1", address
+        )
+        agent = Swim(
+            name,
+            info,
+            int(1e12 + self.now + skew),
+            seeds,
+            self.settings,
+            random.Random(self.chance.random()),
+            follows,
+        )
         self.agents[address] = agent
         self.frozen.pop(address, None)
         self.event(address, Started())
@@ -149,9 +157,12 @@
     def unagreed(self) -> list[Any]:
         """Pairs of running agents of which one does not hold the other for alive."""
         members = {address: agent for address, agent in self.agents.items() if agent.phase is Phase.MEMBER}
-        return [(address, other.name) for address, agent in members.items() for other in members.values()
-                if other is not agent
-                and self.sees(address, other.name) not in (State.ALIVE, State.SUSPECT)]
+        return [
+            (address, other.name)
+            for address, agent in members.items()
+            for other in members.values()
+            if other is not agent and self.sees(address, other.name) not in (State.ALIVE, State.SUSPECT)
+        ]
 
     def leave(self, address: str) -> None:
         self.event(address, Leave())
@@ -159,5 +170,8 @@
 
     def buried(self, since: float, names: set[str]) -> list[tuple[float, str, str]]:
         """Who of these was told as dead since a time, and by whom."""
-        return [(when, by, told.name) for when, by, told in self.told
-                if when >= since and told.state is State.DEAD and told.name in names]
+        return [
+            (when, by, told.name)
+            for when, by, told in self.told
+            if when >= since and told.state is State.DEAD and told.name in names
+        ]
--- a/standins/starts.py
+++ b/standins/starts.py
@@ -162,8 +162,9 @@
                     self.site.send(self.name, to, message)
                 case feeding.Whole(to):
                     age = self.feed.age_ms(self.clock())
-                    self.site.send(self.name, to, Told(-1, (b"whole %d" % self.offset,), age, self.feed.here,
-                                                       False))
+                    self.site.send(
+                        self.name, to, Told(-1, (b"whole %d" % self.offset,), age, self.feed.here, False)
+                    )
                 case feeding.Take(events):
                     for line in events:
                         self.takes(int(line.split()[-1]))
@@ -203,15 +204,25 @@
         self.do(feeding.Tick())
         servers = self.site.servers
         if not self.chosen and self.offset >= 0:
-            self.chosen = chosen_servers(servers, self.name, [*members, self.name],
-                                         self.site.settings.servers)
+            self.chosen = chosen_servers(
+                servers, self.name, [*members, self.name], self.site.settings.servers
+            )
             for server in sorted(self.chosen):
                 self.dial_in(server, self.turns.first(server, now))
         if not self.waves.ready:
-            able = self.site.able if len(members) + 1 >= len(self.site.agents) else \
-                {name for name in self.site.able if name in members}
-            local = Local(len(servers), len(self.answering & self.chosen), len(self.chosen),
-                          len(able - {self.name}), 0, len(members) + 1)
+            able = (
+                self.site.able
+                if len(members) + 1 >= len(self.site.agents)
+                else {name for name in self.site.able if name in members}
+            )
+            local = Local(
+                len(servers),
+                len(self.answering & self.chosen),
+                len(self.chosen),
+                len(able - {self.name}),
+                0,
+                len(members) + 1,
+            )
             if self.waves.look(local, now):
                 self.site.served_at[self.name] = self.site.now
             (self.site.able.add if self.waves.prepared_at is not None else self.site.able.discard)(self.name)
@@ -222,11 +233,16 @@
         while self.births < len(site.births) and site.births[self.births][0] <= site.now - self.lag_ms:
             name = site.births[self.births][1]
             self.births += 1
-            if name != self.name and name in site.agents and not site.hidden(self.name, name) \
-                    and not site.cut(name, self.name):
+            if (
+                name != self.name
+                and name in site.agents
+                and not site.hidden(self.name, name)
+                and not site.cut(name, self.name)
+            ):
                 self.members[name] = site.zone(name)
-        while self.deaths < len(site.deaths) \
-                and site.deaths[self.deaths][0] <= site.now - 5000.0 - self.lag_ms:
+        while (
+            self.deaths < len(site.deaths) and site.deaths[self.deaths][0] <= site.now - 5000.0 - self.lag_ms
+        ):
             name = site.deaths[self.deaths][1]
             self.deaths += 1
             if name not in site.agents:
@@ -237,10 +253,19 @@
 class Site:
     """Agents `a0` ... in two zones, one list service, a few lobby servers."""
 
-    def __init__(self, count: int, seed: int, settings: Settings | None = None, servers: int = 3,
-                 ask_ms: float = 50.0, most_ms: float = 1000.0, spread_ms: float = 2000.0,
-                 offset: Callable[[int], int] = lambda number: 0, skew_ms: float = 0.0,
-                 eager: bool = False) -> None:
+    def __init__(
+        self,
+        count: int,
+        seed: int,
+        settings: Settings | None = None,
+        servers: int = 3,
+        ask_ms: float = 50.0,
+        most_ms: float = 1000.0,
+        spread_ms: float = 2000.0,
+        offset: Callable[[int], int] = lambda number: 0,
+        skew_ms: float = 0.0,
+        eager: bool = False,
+    ) -> None:
         """`ask_ms`: what an ask costs the list service; `eager`: the part turned off, all dial at once."""
         self.chance, self.now, self.count = random.Random(seed), 1e6, count
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -290,11 +315,13 @@
 
     def start(self, number: int) -> None:
         name = f"a{number}"
-        agent = self.agents[name] = Agent(self, name, self.first_offset(number),
-                                          self.chance.uniform(-self.skew_ms, self.skew_ms))
+        agent = self.agents[name] = Agent(
+            self, name, self.first_offset(number), self.chance.uniform(-self.skew_ms, self.skew_ms)
+        )
         if self.eager:
-            agent.turns.settings = Settings(dials_a_second=1e9, lists_a_second=1e9, first_gap_ms=0.1,
-                                            most_gap_ms=200.0, redials=1e9)
+            agent.turns.settings = Settings(
+                dials_a_second=1e9, lists_a_second=1e9, first_gap_ms=0.1, most_gap_ms=200.0, redials=1e9
+            )
             agent.turns.size = 1
             agent.feed.first = True
         self.births.append((self.now, name))
@@ -318,6 +345,7 @@
 
     def apart(self, zone: str, ms: float) -> None:
         """A zone is cut off from the other, not from service and servers; known after 5 to 10 s."""
+
         def cut(sender: str, to: str) -> bool:
             return (self.zone(sender) == zone) is not (self.zone(to) == zone)
 
@@ -327,8 +355,9 @@
         self.after(ms, self.heal)
 
     def _lost_sight(self, viewer: Agent) -> None:
-        viewer.members = {name: zone for name, zone in viewer.members.items()
-                          if not self.cut(name, viewer.name)}
+        viewer.members = {
+            name: zone for name, zone in viewer.members.items() if not self.cut(name, viewer.name)
+        }
         viewer.do(feeding.Members(viewer.members))
 
     def heal(self) -> None:
@@ -401,8 +430,16 @@
 
     def latest(self, offset: int) -> float:
         """How long after it was said the last agent that lives now knew of an event, ms."""
-        return max((agent.heard_at.get(offset, self.now if agent.offset < offset else -math.inf)
-                    for agent in self.agents.values()), default=0.0) - self.told_at[offset]
+        return (
+            max(
+                (
+                    agent.heard_at.get(offset, self.now if agent.offset < offset else -math.inf)
+                    for agent in self.agents.values()
+                ),
+                default=0.0,
+            )
+            - self.told_at[offset]
+        )
 
 
 def busiest(times: list[float], span_ms: float = 100.0) -> int:
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -78,10 +78,12 @@
     def answer(self, call: str, number: int = 0, elapsed: float = 60.0) -> list[api.Action]:
         return self.give(api.CallStands(call, self.attempts[call], server(number).address, elapsed))
 
-    def fail(self, call: str, outcome: api.Outcome, number: int = 0, closed: bool = False,
-             note: int = 0) -> list[api.Action]:
-        return self.give(api.AttemptEnded(call, self.attempts[call], server(number).address, outcome, 50.0,
-                                          closed, note))
+    def fail(
+        self, call: str, outcome: api.Outcome, number: int = 0, closed: bool = False, note: int = 0
+    ) -> list[api.Action]:
+        return self.give(
+            api.AttemptEnded(call, self.attempts[call], server(number).address, outcome, 50.0, closed, note)
+        )
 
     def control(self, number: int = 0) -> decide.Control:
         return self.logic.controls[server(number).address]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -50,8 +50,13 @@
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Prints the list, and what became of each of its tests in this run."""
     for failure in known_failures():
-        outcomes = [name for name in ("xfailed", "xpassed", "error")
-                    for report in terminalreporter.stats.get(name, []) if report.nodeid == failure.test]
+        outcomes = [
+            name
+            for name in ("xfailed", "xpassed", "error")
+            for report in terminalreporter.stats.get(name, [])
+            if report.nodeid == failure.test
+        ]
         outcome = outcomes[0] if outcomes else "not run"
         terminalreporter.write_line(
-            f"KNOWN-RED: {failure.test}: {failure.cause} (issue {failure.issue}): {outcome}")
+            f"KNOWN-RED: {failure.test}: {failure.cause} (issue {failure.issue}): {outcome}"
+        )
--- a/tests/diameter.py
+++ b/tests/diameter.py
@@ -16,16 +16,30 @@
 
 NAMES = {avp.CE: "CE", avp.CC: "CC", avp.AS: "AS", avp.DW: "DW", avp.DP: "DP"}
 KINDS = {avp.INITIAL: "-I", avp.UPDATE: "-U", avp.TERMINATION: "-T", avp.EVENT: "-E"}
-SHOWN = {"result": avp.RESULT_CODE, "wait": avp.MAXIMUM_WAIT_TIME, "key": avp.CALLED_STATION_ID,
-         "cause": avp.TERMINATION_CAUSE, "why": avp.DISCONNECT_CAUSE, "svc": avp.SERVICE_CONTEXT_ID}
+SHOWN = {
+    "result": avp.RESULT_CODE,
+    "wait": avp.MAXIMUM_WAIT_TIME,
+    "key": avp.CALLED_STATION_ID,
+    "cause": avp.TERMINATION_CAUSE,
+    "why": avp.DISCONNECT_CAUSE,
+    "svc": avp.SERVICE_CONTEXT_ID,
+}
 
 
 def config(**caps: Any) -> dict[str, Any]:
-    return {"name": "n0", "listen": "127.0.0.1:1", "seed": "0a",
-            "settings": {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}},
-            "diameter": {"host": "n0", "realm": "here", "clients": ["c1", "c2"], "watchdog_ms": 6000,
-                         "servers": [{"host": f"s{n}", "dial": f"10.0.0.{n + 1}:1", "number": n}
-                                     for n in (0, 1)]}}
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:1",
+        "seed": "0a",
+        "settings": {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}},
+        "diameter": {
+            "host": "n0",
+            "realm": "here",
+            "clients": ["c1", "c2"],
+            "watchdog_ms": 6000,
+            "servers": [{"host": f"s{n}", "dial": f"10.0.0.{n + 1}:1", "number": n} for n in (0, 1)],
+        },
+    }
 
 
 def extra(given: Heard) -> list[Avp]:
@@ -53,7 +67,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         for frame in self.frames.feed(data):
             message = avp.read_header(frame)
-            message.avps = avp.read_avps(frame[avp.HEADER:])
+            message.avps = avp.read_avps(frame[avp.HEADER :])
             heard = self.show(message)
             note(self, "hears", heard)
             if message.is_request:
@@ -71,8 +85,10 @@
     def show(self, message: Message) -> Heard:
         kind = KINDS.get(message.get(avp.CC_REQUEST_TYPE), "") if message.command == avp.CC else ""
         way = "R" if message.is_request else "A"
-        heard = {"": f"{NAMES.get(message.command, message.command)}{way}{kind}",
-                 "tag": message.get(avp.SESSION_ID) or ""}
+        heard = {
+            "": f"{NAMES.get(message.command, message.command)}{way}{kind}",
+            "tag": message.get(avp.SESSION_ID) or "",
+        }
         for name, definition in SHOWN.items():
             value = message.get(definition)
             heard.update({} if value is None else {name: str(value)})
@@ -98,8 +114,12 @@
             avps.insert(0, make(avp.SESSION_ID, session))
         if name[:2] == "CE":
             application = int(given.get("app", avp.CREDIT_CONTROL))
-            avps += [make(avp.HOST_IP_ADDRESS, b"\0\1\x7f\0\0\1"), make(avp.VENDOR_ID, 0),
-                     make(avp.PRODUCT_NAME, "stand-in"), make(avp.AUTH_APPLICATION_ID, application)]
+            avps += [
+                make(avp.HOST_IP_ADDRESS, b"\0\1\x7f\0\0\1"),
+                make(avp.VENDOR_ID, 0),
+                make(avp.PRODUCT_NAME, "stand-in"),
+                make(avp.AUTH_APPLICATION_ID, application),
+            ]
         if name[:2] in ("CE", "DW"):
             avps.append(make(avp.ORIGIN_STATE_ID, self.state_id))
         if name[2] == "A":
@@ -110,8 +130,11 @@
             avps.append(make(avp.DESTINATION_HOST, "n0"))
         if name[:2] == "CC":
             kind = next(code for code, ending in KINDS.items() if ending == name[3:])
-            avps += [make(avp.SERVICE_CONTEXT_ID, given.get("svc", "race@there")),
-                     make(avp.CC_REQUEST_TYPE, kind), make(avp.CC_REQUEST_NUMBER, 0)]
+            avps += [
+                make(avp.SERVICE_CONTEXT_ID, given.get("svc", "race@there")),
+                make(avp.CC_REQUEST_TYPE, kind),
+                make(avp.CC_REQUEST_NUMBER, 0),
+            ]
             avps += [make(avp.DESTINATION_HOST, given["dest"])] if "dest" in given else []
             avps += [make(avp.OC_SUPPORTED_FEATURES, [])] if "oc" in given else []
         for field, definition in SHOWN.items():
@@ -124,16 +147,31 @@
         command = next(code for code, short in NAMES.items() if short == name[:2])
         application = avp.CREDIT_CONTROL if command in (avp.CC, avp.AS) else 0
         flags = avp.REQUEST | (avp.RETRANSMITTED if "T" in given else 0)
-        return Message(int(given.get("command", command)), int(given.get("to", application)), self.ids,
-                       int(given.get("id", self.ids)), flags, avps).encode()
+        return Message(
+            int(given.get("command", command)),
+            int(given.get("to", application)),
+            self.ids,
+            int(given.get("id", self.ids)),
+            flags,
+            avps,
+        ).encode()
 
     def answer(self, name: str, session: str, given: Heard, avps: list[Avp]) -> bytes:
         asked = self.asked[f"{name[:2]}R{name[3:] or ('-I' if name == 'CCA' else '')}", session]
         result = int(given["result"])
-        return Message(asked.command, asked.application, asked.hop_by_hop, asked.end_to_end,
-                       avp.ERROR if 3000 <= result < 4000 else 0,
-                       [*avps, make(avp.RESULT_CODE, result), *extra(given), *(
-                           [make(avp.CALLED_STATION_ID, given["key"])] if "key" in given else [])]).encode()
+        return Message(
+            asked.command,
+            asked.application,
+            asked.hop_by_hop,
+            asked.end_to_end,
+            avp.ERROR if 3000 <= result < 4000 else 0,
+            [
+                *avps,
+                make(avp.RESULT_CODE, result),
+                *extra(given),
+                *([make(avp.CALLED_STATION_ID, given["key"])] if "key" in given else []),
+            ],
+        ).encode()
 
     def send(self, text: str) -> None:
         if text == "bare":
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -277,8 +277,9 @@
     assert any(line["event"] == "installed" for line in rig.records(back))
 
     async def recorded() -> bool:
-        return all(sum(len(line.get("ids", ())) for line in rig.records(name)) >= 100_000
-                   for name in rig.voters)
+        return all(
+            sum(len(line.get("ids", ())) for line in rig.records(name)) >= 100_000 for name in rig.voters
+        )
 
     await rig.until("the voters' records have each entry", recorded)
 
@@ -419,14 +420,27 @@
 
 
 HISTORIES: dict[str, tuple[History, int]] = {
-    history.__name__: (history, count) for history, count in (
-        (a_leader_killed, 3), (a_leader_that_stalls_and_goes_on, 3), (a_link_cut_one_way, 4),
-        (a_majority_lost_and_back, 3), (all_killed_at_once, 4), (three_datagrams_in_ten_lost, 4),
-        (a_voter_without_its_disk, 4), (links_reset_and_stalled, 3), (drawn, 5),
-        (voters_changed_while_some_are_cut_off, 5), (a_log_with_a_byte_flipped, 3),
-        (a_second_process_of_one_name, 3), (a_disk_full_at_each_voter_in_turn, 3),
-        (a_lone_voter_with_a_full_disk, 1), (a_follower_back_after_100000_entries, 4),
-        (clocks_apart_and_one_set_back, 3), (calls_while_all_around_fails, 3))}
+    history.__name__: (history, count)
+    for history, count in (
+        (a_leader_killed, 3),
+        (a_leader_that_stalls_and_goes_on, 3),
+        (a_link_cut_one_way, 4),
+        (a_majority_lost_and_back, 3),
+        (all_killed_at_once, 4),
+        (three_datagrams_in_ten_lost, 4),
+        (a_voter_without_its_disk, 4),
+        (links_reset_and_stalled, 3),
+        (drawn, 5),
+        (voters_changed_while_some_are_cut_off, 5),
+        (a_log_with_a_byte_flipped, 3),
+        (a_second_process_of_one_name, 3),
+        (a_disk_full_at_each_voter_in_turn, 3),
+        (a_lone_voter_with_a_full_disk, 1),
+        (a_follower_back_after_100000_entries, 4),
+        (clocks_apart_and_one_set_back, 3),
+        (calls_while_all_around_fails, 3),
+    )
+}
 
 
 async def played(folder: pathlib.Path, name: str, seed: int) -> None:
@@ -445,8 +459,9 @@
             raise AssertionError(f"{name}, seed {seed}: {problem}; history: {rig.history}") from None
 
 
-@pytest.mark.parametrize("names", [tuple(HISTORIES)[at:at + 6] for at in (0, 6, 12)],
-                         ids=["first", "second", "third"])
+@pytest.mark.parametrize(
+    "names", [tuple(HISTORIES)[at : at + 6] for at in (0, 6, 12)], ids=["first", "second", "third"]
+)
 def test_histories_of_real_processes(names: tuple[str, ...], tmp_path: pathlib.Path) -> None:
     async def all_of_them() -> None:
         await asyncio.gather(*(played(tmp_path, name, 1) for name in names))
--- a/tests/fleet/test_startup.py
+++ b/tests/fleet/test_startup.py
@@ -35,6 +35,7 @@
 
     async def feeders_settle(self) -> None:
         """In the end the list service has the chosen few, and no others."""
+
         async def settled() -> bool:
             return len(self.list.held_open) == 2 * FEEDERS
 
@@ -108,8 +109,9 @@
         number, others = self.tell(), [name for name in self.rig.names if name not in stalled]
         found = await self.heard(number, others)
         for name in stalled:
-            assert not any(line["event"] == "list" and line["offset"] == number
-                           for line in self.rig.records(name))  # they did stand still
+            assert not any(
+                line["event"] == "list" and line["offset"] == number for line in self.rig.records(name)
+            )  # they did stand still
             self.rig.wake(name)
         assert not {line["source"] for line in found.values()} & set(stalled)
         await self.heard(number)
@@ -135,8 +137,10 @@
         since = len(self.list.accepted)
         self.rig.apart([name for name in self.rig.names if self.rig.zone(name) == "z1"])
         found = await self.heard(self.tell())
-        assert all(not line["source"] or self.rig.zone(line["source"]) == self.rig.zone(name)
-                   for name, line in found.items())
+        assert all(
+            not line["source"] or self.rig.zone(line["source"]) == self.rig.zone(name)
+            for name, line in found.items()
+        )
         assert self.rig.injected("cut")
         self.rig.heal()
         await self.heard(self.tell())
@@ -151,13 +155,33 @@
 
 async def told(folder: pathlib.Path, **startup: Any) -> None:
     site = DarkSite(1, SERVERS)
-    rig = Rig(folder, COUNT, 3, 1, outside=site, top={"startup": {
-        "agents": COUNT, "servers": CHOSEN, "feeders": FEEDERS, "patience_ms": 60_000.0, **startup}})
+    rig = Rig(
+        folder,
+        COUNT,
+        3,
+        1,
+        outside=site,
+        top={
+            "startup": {
+                "agents": COUNT,
+                "servers": CHOSEN,
+                "feeders": FEEDERS,
+                "patience_ms": 60_000.0,
+                **startup,
+            }
+        },
+    )
     rig.across = True
     async with rig:
         story = Story(rig, site)
-        for part in (story.start_at_once, story.service_and_servers_away, story.feeders_stall,
-                     story.feeders_die, story.a_zone_is_cut_off, story.all_serve):
+        for part in (
+            story.start_at_once,
+            story.service_and_servers_away,
+            story.feeders_stall,
+            story.feeders_die,
+            story.a_zone_is_cut_off,
+            story.all_serve,
+        ):
             rig.say(part.__name__)
             await part()
         assert "Traceback" not in (folder / "log").read_text(encoding="utf-8")
--- a/tests/fleet/test_work.py
+++ b/tests/fleet/test_work.py
@@ -23,6 +23,7 @@
 
 async def stands(rig: Rig, machine: str, state: str, among: list[str] | None = None, words: str = "") -> None:
     """Waits until all these agents' doors show a machine's newest ticket so."""
+
     async def shown() -> bool:
         for name in among or rig.names:
             lines = [line.split(None, 3) for line in await status(rig, name) if line[:1].isdigit()]
@@ -109,8 +110,10 @@
     rig.heal()
     await stands(rig, "h0", "out")
     for name in rig.names:
-        assert any(line["event"] == "ticket" and line["forced"] == "ann: its machine is switched off"
-                   for line in rig.records(name))
+        assert any(
+            line["event"] == "ticket" and line["forced"] == "ann: its machine is switched off"
+            for line in rig.records(name)
+        )
     await done(rig, "h0")
 
 
@@ -135,11 +138,14 @@
 
 
 async def two_staff_at_two_doors(rig: Rig) -> None:
-    await asyncio.gather(*(request(rig, name, "h0,n1", f"takes=1h who={name} why=a move")
-                           for name in rig.names))
+    await asyncio.gather(
+        *(request(rig, name, "h0,n1", f"takes=1h who={name} why=a move") for name in rig.names)
+    )
     await stands(rig, "h0", "refused")
-    seen = {tuple(line.split(":")[0] for line in await status(rig, name) if line[:1].isdigit())
-            for name in rig.names}
+    seen = {
+        tuple(line.split(":")[0] for line in await status(rig, name) if line[:1].isdigit())
+        for name in rig.names
+    }
     assert len({tuple(word.split()[1] for word in lines) for lines in seen}) == 1
 
     async def all_done() -> bool:
@@ -315,10 +321,13 @@
     await rig.start(leader)
     await request(rig, first, "h0")  # one at least is in the log
     await stands(rig, "h0", "refused")
-    shown = [[line.split(None, 3)[:4] for line in await status(rig, name) if line[:1].isdigit()]
-             for name in rig.names]
-    assert all(sum(line[1] == "h0" and not line[3].startswith("refused") for line in lines) == 1
-               for lines in shown), shown
+    shown = [
+        [line.split(None, 3)[:4] for line in await status(rig, name) if line[:1].isdigit()]
+        for name in rig.names
+    ]
+    assert all(
+        sum(line[1] == "h0" and not line[3].startswith("refused") for line in lines) == 1 for lines in shown
+    ), shown
 
     async def all_done() -> bool:
         await any_ready(rig)
@@ -439,27 +448,48 @@
     for (number, machine, state), since in first.items():
         if state == "out" and number not in forced and machine.startswith("h"):
             until = min(first.get((number, machine, later), 1e18) for later in ("back", "warming", "done"))
-            came = [call for at, server, call in rig.outside.books.set_ups
-                    if server.endswith(f".{machine}") and since < at < until]
+            came = [
+                call
+                for at, server, call in rig.outside.books.set_ups
+                if server.endswith(f".{machine}") and since < at < until
+            ]
             assert not came, f"{machine} was called while it might be touched: {came}; {rig.history}"
 
 
-HISTORIES: dict[str, History] = {history.__name__: history for history in (
-    a_lobby_server_out_and_back, an_agent_out_and_started_anew, the_leader_is_the_machine_whose_turn_it_is,
-    one_that_is_cut_off_holds_the_word_back_by_name, forced_by_staff, killed_in_mid_drain,
-    overdue_halts_the_plan, two_staff_at_two_doors, the_majority_lost_with_a_server_out,
-    one_that_stalls_while_a_server_goes, never_two_zones_at_a_time, cancelled_held_and_gone_on,
-    a_lobby_server_dies_while_another_is_out, load_past_the_margin, a_client_that_never_pauses,
-    a_zone_cut_off_in_the_middle_of_its_own_plan, a_hold_that_one_agent_can_not_hear,
-    two_plans_for_one_machine_and_the_leader_dies, confirmed_and_back_with_an_older_memory, drawn)}
+HISTORIES: dict[str, History] = {
+    history.__name__: history
+    for history in (
+        a_lobby_server_out_and_back,
+        an_agent_out_and_started_anew,
+        the_leader_is_the_machine_whose_turn_it_is,
+        one_that_is_cut_off_holds_the_word_back_by_name,
+        forced_by_staff,
+        killed_in_mid_drain,
+        overdue_halts_the_plan,
+        two_staff_at_two_doors,
+        the_majority_lost_with_a_server_out,
+        one_that_stalls_while_a_server_goes,
+        never_two_zones_at_a_time,
+        cancelled_held_and_gone_on,
+        a_lobby_server_dies_while_another_is_out,
+        load_past_the_margin,
+        a_client_that_never_pauses,
+        a_zone_cut_off_in_the_middle_of_its_own_plan,
+        a_hold_that_one_agent_can_not_hear,
+        two_plans_for_one_machine_and_the_leader_dies,
+        confirmed_and_back_with_an_older_memory,
+        drawn,
+    )
+}
 AGENTS = {"confirmed_and_back_with_an_older_memory": 4}  # else three; three vote
 
 
 async def played(folder: pathlib.Path, name: str, seed: int) -> None:
     (folder / name).mkdir()
     outside = Outside(1)
-    async with Rig(folder / name, AGENTS.get(name, 3), 3, seed, outside=outside,
-                   work={"warm_ms": 500.0}) as rig:
+    async with Rig(
+        folder / name, AGENTS.get(name, 3), 3, seed, outside=outside, work={"warm_ms": 500.0}
+    ) as rig:
         try:
             await rig.leader()
             for each in rig.names:
@@ -490,8 +520,9 @@
             raise AssertionError(f"{name}, seed {seed}: {problem}; history: {rig.history}") from None
 
 
-@pytest.mark.parametrize("names", [tuple(HISTORIES)[at:at + 7] for at in (0, 7, 14)],
-                         ids=["first", "second", "third"])
+@pytest.mark.parametrize(
+    "names", [tuple(HISTORIES)[at : at + 7] for at in (0, 7, 14)], ids=["first", "second", "third"]
+)
 def test_work_on_machines_of_real_processes(names: tuple[str, ...], tmp_path: pathlib.Path) -> None:
     async def all_of_them() -> None:
         await asyncio.gather(*(played(tmp_path, name, 1) for name in names))
--- a/tests/restart.py
+++ b/tests/restart.py
@@ -1,11 +1,11 @@
 """Worlds whose agent keeps a store, can be killed, and starts again. Beside the steps of tests/scenario.py:
 
-    send agent kill       the process is gone at once; the system has all that was written
-    send agent power      the machine is gone: what was not synced may be lost, kept in part or reordered
-    send agent start      it starts again, on the files as they were found
-    send disk hold        what is written is neither done nor heard of; `write`: done, and still not heard of;
-                          `free`: both, from now on; `full`: every write fails from now on, until `roomy`
-    send clock MS         the clock is set by so much, back as well
+send agent kill       the process is gone at once; the system has all that was written
+send agent power      the machine is gone: what was not synced may be lost, kept in part or reordered
+send agent start      it starts again, on the files as they were found
+send disk hold        what is written is neither done nor heard of; `write`: done, and still not heard of;
+                      `free`: both, from now on; `full`: every write fails from now on, until `roomy`
+send clock MS         the clock is set by so much, back as well
 """
 
 from __future__ import annotations
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -133,9 +133,14 @@
 
     def connectTCP(self, host: str, port: int, factory: Any, **more: Any) -> Any:  # noqa: N802
         self.world.later.append(lambda: self.world.dialed(f"{host}:{port}", factory))
-        connector = type("Connector", (), {
-            "getDestination": lambda self: f"{host}:{port}",
-            "stopConnecting": lambda self: factory.clientConnectionFailed(self, failure(error.UserError))})()
+        connector = type(
+            "Connector",
+            (),
+            {
+                "getDestination": lambda self: f"{host}:{port}",
+                "stopConnecting": lambda self: factory.clientConnectionFailed(self, failure(error.UserError)),
+            },
+        )()
         factory.startedConnecting(connector)
         return connector
 
@@ -226,8 +231,11 @@
         if rest and "=" not in rest.split(" ")[0]:
             tag, _, rest = rest.partition(" ")
         wanted = dict(pair.split("=", 1) for pair in rest.split())
-        return (heard[""] in (verb, text) and (heard[""] == text or not tag or heard.get("tag") == tag)
-                and all(heard.get(key) == value for key, value in wanted.items()))
+        return (
+            heard[""] in (verb, text)
+            and (heard[""] == text or not tag or heard.get("tag") == tag)
+            and all(heard.get(key) == value for key, value in wanted.items())
+        )
 
     def unasked(self, heard: Heard) -> bool:
         """What may be passed over where it is not asked for."""
@@ -271,8 +279,7 @@
 
     actor: type[Actor] = Actor
     reactor_kind: type[Reactor] = Reactor
-    addresses: ClassVar = {"10.0.0.1:1": "s0", "10.0.0.2:1": "s1", "10.0.1.1:1": "bus",
-                           "10.0.1.2:1": "bus2"}
+    addresses: ClassVar = {"10.0.0.1:1": "s0", "10.0.0.2:1": "s1", "10.0.1.1:1": "bus", "10.0.1.2:1": "bus2"}
 
     def __init__(self, record: dict[str, Any]) -> None:
         self.dials = 0
@@ -329,10 +336,17 @@
         assert self.reactor.door is not None, "no door"
         connection = self.reactor.door.buildProtocol(None)
         said = type("Said", (), {"text": b"", "closed": False})()
-        connection.makeConnection(type("Transport", (), {
-            "write": lambda _, data: setattr(said, "text", said.text + data),
-            "loseConnection": lambda _: setattr(said, "closed", True),
-            "abortConnection": lambda _: setattr(said, "closed", True)})())
+        connection.makeConnection(
+            type(
+                "Transport",
+                (),
+                {
+                    "write": lambda _, data: setattr(said, "text", said.text + data),
+                    "loseConnection": lambda _: setattr(said, "closed", True),
+                    "abortConnection": lambda _: setattr(said, "closed", True),
+                },
+            )()
+        )
         connection.dataReceived(line.encode() + b"\n")
         assert said.closed, "the door did not close"
         connection.connectionLost(None)
@@ -364,10 +378,13 @@
                 assert said.startswith(wanted), f"the door said {said!r}, not {wanted!r}"
                 return
             case "expect", "agent":
-                told = {"exit": self.agent.lifecycle.phase is Phase.STOPPED and self.reactor.stopped,
-                        f"phase {self.agent.lifecycle.phase.value}": True,
-                        f"stopped {self.agent.rules.stopped.total()}": True,
-                        f"open {self.agent.broker.open}": True, f"dials {self.dials}": True}
+                told = {
+                    "exit": self.agent.lifecycle.phase is Phase.STOPPED and self.reactor.stopped,
+                    f"phase {self.agent.lifecycle.phase.value}": True,
+                    f"stopped {self.agent.rules.stopped.total()}": True,
+                    f"open {self.agent.broker.open}": True,
+                    f"dials {self.dials}": True,
+                }
                 assert told.get(rest), f"agent is in {told}"
             case "send", "p1":
                 self.reactor.udp.datagramReceived(bytes.fromhex(rest), ("10.0.2.2", 1))
@@ -403,33 +420,68 @@
     return made
 
 
-def host(number: int, health: str = "ready", born: float = 0.0, dial: int | None = None,
-         name: str = "") -> dict[str, Any]:
+def host(
+    number: int, health: str = "ready", born: float = 0.0, dial: int | None = None, name: str = ""
+) -> dict[str, Any]:
     at = f"10.0.0.{(number if dial is None else dial) + 1}:1"
-    return {"host": name or f"h{number}", "dial": at, "site": "east", "class": "std", "block": number,
-            "health": health, "share": 4, "born_ms": born}
+    return {
+        "host": name or f"h{number}",
+        "dial": at,
+        "site": "east",
+        "class": "std",
+        "block": number,
+        "health": health,
+        "share": 4,
+        "born_ms": born,
+    }
 
 
 def event(offset: int, *hosts: dict[str, Any], whole: bool = False) -> str:
-    return orjson.dumps({"offset": offset, "topology": {
-        "seq": offset, "whole": whole, "hosts": list(hosts)}}).decode()
+    return orjson.dumps(
+        {"offset": offset, "topology": {"seq": offset, "whole": whole, "hosts": list(hosts)}}
+    ).decode()
 
 
 SETTINGS: dict[str, Any] = {
     "services": [{"name": "race", "aim-ms": 1500.0, "deadline-ms": 9000.0, "late-worth": 0.1}],
-    "caps": {"try-limit": 4, "may-cancel": True, "connect-timeout-ms": 500.0, "peers": False,
-             "probes": False, "retry-after": False},
-    "family-info": {"topology": "pools", "pools-by-class": [[0, 1]], "holding-ms": [9000.0],
-                    "release-guard-ms": 500.0, "retransmit-ms": 400.0},
-    "report": {"columns": ["free", "size", "can_take"]}, "me": 0, "siblings": 2,
-    "rules": {"drain-grace-ms": 2000.0, "cold-from": 0.34, "cold-ms": 15000.0, "fall-multiple": 3.0,
-              "fall-ms": 2000.0}}
+    "caps": {
+        "try-limit": 4,
+        "may-cancel": True,
+        "connect-timeout-ms": 500.0,
+        "peers": False,
+        "probes": False,
+        "retry-after": False,
+    },
+    "family-info": {
+        "topology": "pools",
+        "pools-by-class": [[0, 1]],
+        "holding-ms": [9000.0],
+        "release-guard-ms": 500.0,
+        "retransmit-ms": 400.0,
+    },
+    "report": {"columns": ["free", "size", "can_take"]},
+    "me": 0,
+    "siblings": 2,
+    "rules": {
+        "drain-grace-ms": 2000.0,
+        "cold-from": 0.34,
+        "cold-ms": 15000.0,
+        "fall-multiple": 3.0,
+        "fall-ms": 2000.0,
+    },
+}
 
 
 def platform(**caps: Any) -> dict[str, Any]:
     """A configuration of the platform's form, with some `caps` changed."""
-    return {"name": "n0", "listen": "10.0.9.1:1", "seed": "0a", "limits": {"sockets": 64},
-            "bus": "10.0.1.1:1",
-            "peer_listen": "10.0.9.1:2", "peers": ["10.0.2.1:1", "10.0.2.2:1"],
-            "known": {"offset": 1, "batch": [orjson.loads(event(1, host(0), host(1), whole=True))]},
-            "settings": {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}}}
+    return {
+        "name": "n0",
+        "listen": "10.0.9.1:1",
+        "seed": "0a",
+        "limits": {"sockets": 64},
+        "bus": "10.0.1.1:1",
+        "peer_listen": "10.0.9.1:2",
+        "peers": ["10.0.2.1:1", "10.0.2.2:1"],
+        "known": {"offset": 1, "batch": [orjson.loads(event(1, host(0), host(1), whole=True))]},
+        "settings": {**SETTINGS, "caps": {**SETTINGS["caps"], **caps}},
+    }
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -32,15 +32,33 @@
 class GateMachine(RuleBasedStateMachine):
     """Seats as their fronts see them, and what the gate may never do with them."""
 
-    @initialize(by_address=st.sampled_from([0, 3]), by_prefix=st.sampled_from([0, 4]),
-                unidentified=st.sampled_from([0, 5]), reserve=st.sampled_from([0, 3]),
-                rate=st.sampled_from([0.0, 2.0]), ladder=st.booleans())
-    def begin(self, by_address: int, by_prefix: int, unidentified: int, reserve: int, rate: float,
-              ladder: bool) -> None:
+    @initialize(
+        by_address=st.sampled_from([0, 3]),
+        by_prefix=st.sampled_from([0, 4]),
+        unidentified=st.sampled_from([0, 5]),
+        reserve=st.sampled_from([0, 3]),
+        rate=st.sampled_from([0.0, 2.0]),
+        ladder=st.booleans(),
+    )
+    def begin(
+        self, by_address: int, by_prefix: int, unidentified: int, reserve: int, rate: float, ladder: bool
+    ) -> None:
         self.limits = dataclasses.replace(
-            BASE, by_address=by_address, by_prefix=by_prefix, unidentified=unidentified, reserve=reserve,
-            address_a_second=rate, prefix_a_second=rate, by_team=2, back_off_ms=100.0, remembered=8,
-            buffered_bytes=1000, buffered_connection_bytes=300, earned_ms=5000.0, ladder=ladder)
+            BASE,
+            by_address=by_address,
+            by_prefix=by_prefix,
+            unidentified=unidentified,
+            reserve=reserve,
+            address_a_second=rate,
+            prefix_a_second=rate,
+            by_team=2,
+            back_off_ms=100.0,
+            remembered=8,
+            buffered_bytes=1000,
+            buffered_connection_bytes=300,
+            earned_ms=5000.0,
+            ladder=ladder,
+        )
         self.gate = Gate(self.limits, Descriptors(20, 6))
         self.now = 1e6
         self.open: dict[int, Seat] = {}
@@ -83,8 +101,11 @@
         self.open.pop(seat.number, None)
 
     @precondition(lambda self: self.open)
-    @rule(data=st.data(), what=st.sampled_from(["took", "done", "earns", "gone", "buffered"]),
-          count=st.integers(0, 400))
+    @rule(
+        data=st.data(),
+        what=st.sampled_from(["took", "done", "earns", "gone", "buffered"]),
+        count=st.integers(0, 400),
+    )
     def event(self, data: Any, what: str, count: int) -> None:
         seat = self.open[data.draw(st.sampled_from(sorted(self.open)))]
         match what:
@@ -114,8 +135,9 @@
     @rule(connections=st.sampled_from([4, 12]))
     def reload(self, connections: int) -> None:
         before = dict(self.open)
-        self.limits = dataclasses.replace(self.limits, connections=connections,
-                                          reserve=min(self.limits.reserve, 2))
+        self.limits = dataclasses.replace(
+            self.limits, connections=connections, reserve=min(self.limits.reserve, 2)
+        )
         self.gate.reload(self.limits, self.now)
         assert self.gate.seats == before, "a reload closes nothing by itself"
 
@@ -151,19 +173,38 @@
 
 
 TestGateMachine = GateMachine.TestCase
-TestGateMachine.settings = settings(max_examples=80, stateful_step_count=40, derandomize=True, deadline=None,
-                                    suppress_health_check=list(HealthCheck))
-
-
-SCHEMA = json.loads((pathlib.Path(__file__).parent.parent / "deploy" / "config.schema.json").read_text(
-    encoding="utf-8"))
-
-
-@pytest.mark.parametrize(("field", "value"), [
-    ("by_address", -1), ("by_address", 1.5), ("reserve", "3"), ("address_a_second", -1), ("ladder", 1),
-    ("known", "10.0.0.0/8"), ("known", [""]), ("ipv4_prefix", 0), ("ipv6_prefix", 129), ("remembered", 1),
-    ("shared", [{"network": "10.0.0.0/8"}]), ("shared", [{"network": "10.0.0.0/8", "clients": 0}]),
-    ("sockets", 3)])
+TestGateMachine.settings = settings(
+    max_examples=80,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+SCHEMA = json.loads(
+    (pathlib.Path(__file__).parent.parent / "deploy" / "config.schema.json").read_text(encoding="utf-8")
+)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("by_address", -1),
+        ("by_address", 1.5),
+        ("reserve", "3"),
+        ("address_a_second", -1),
+        ("ladder", 1),
+        ("known", "10.0.0.0/8"),
+        ("known", [""]),
+        ("ipv4_prefix", 0),
+        ("ipv6_prefix", 129),
+        ("remembered", 1),
+        ("shared", [{"network": "10.0.0.0/8"}]),
+        ("shared", [{"network": "10.0.0.0/8", "clients": 0}]),
+        ("sockets", 3),
+    ],
+)
 def test_a_bad_field_of_admission_is_named(field: str, value: object) -> None:
     record = {**platform(), "admission": {field: value}}
     with pytest.raises(jsonschema.ValidationError):
@@ -179,9 +220,17 @@
     for field, entry in named.items():
         if "default" in entry:
             assert entry["default"] == fields[field]
-    read = config.read({**platform(), "admission": {
-        "by_address": 3, "known": ["10.0.0.0/8", "2001:db8::1"], "reserve": 4,
-        "shared": [{"network": "192.0.2.0/24", "clients": 50}]}}).admission
+    read = config.read(
+        {
+            **platform(),
+            "admission": {
+                "by_address": 3,
+                "known": ["10.0.0.0/8", "2001:db8::1"],
+                "reserve": 4,
+                "shared": [{"network": "192.0.2.0/24", "clients": 50}],
+            },
+        }
+    ).admission
     assert (read.by_address, read.reserve, read.connections) == (3, 4, 32)
     assert [str(network) for network in read.known] == ["10.0.0.0/8", "2001:db8::1/128"]
     with pytest.raises(config.ConfigError, match=r"^admission\.reserve: leaves nothing of 32"):
@@ -198,10 +247,13 @@
 
 
 def test_dials_are_counted_until_they_are_lost_and_end_where_no_descriptor_is_left() -> None:
-    world = play("""
+    world = play(
+        """
         send c1 START a class=race left=8000 extras=dest:0
         expect s0 START a
-    """, platform())
+    """,
+        platform(),
+    )
     open_now = world.agent.gate.descriptors.open
     assert (open_now[Owner.BUS], open_now[Owner.SERVERS], open_now[Owner.CLIENTS]) == (1, 2, 1)
     for line in ("close s0 dead", "close bus dead", "wait 50"):
@@ -220,10 +272,13 @@
 
 def test_limits_change_live_and_a_lowered_one_sheds_nothing_that_was_taken() -> None:
     """Four clients of one address, one of them with a set-up open; then only two connections are allowed."""
-    world = play("""
+    world = play(
+        """
         send c1 START a class=race left=8000 extras=dest:0
         expect s0 START a
-    """, platform())
+    """,
+        platform(),
+    )
     idle = [world.reactor.factory.buildProtocol(None) for _ in range(3)]
     for protocol in idle:
         wire = Wire(world, protocol)
@@ -280,20 +335,26 @@
     assert gate.arrive("10.9.0.2", 4.0).shed == (known[0],)
 
 
-@pytest.mark.parametrize(("limits", "address", "reason"), [
-    ({"by_address": 3}, "10.0.0.{0}", None), ({"by_address": 3}, "10.0.0.1", Reason.ADDRESS),
-    ({"by_prefix": 3}, "10.0.0.{0}", Reason.PREFIX), ({"by_prefix": 3}, "10.0.{0}.1", None),
-    ({"by_prefix": 3}, "2001:db8::{0}", Reason.PREFIX),
-    ({"by_prefix": 3}, "::ffff:10.0.0.{0}", Reason.PREFIX),
-    ({"unidentified": 3}, "10.0.{0}.1", Reason.UNIDENTIFIED),
-    ({"address_a_second": 3.0}, "10.0.0.1", Reason.RATE_ADDRESS),
-    ({"address_a_second": 3.0}, "10.0.0.{0}", None),
-    ({"prefix_a_second": 3.0}, "10.0.0.{0}", Reason.RATE_PREFIX),
-    ({"by_prefix": 3, "prefix_a_second": 3.0}, "10.9.0.{0}", None),
-    ({"by_address": 3, "shared": (Shared(ipaddress.ip_network("10.0.0.0/30"), 2),)}, "10.0.0.1", None),
-])
+@pytest.mark.parametrize(
+    ("limits", "address", "reason"),
+    [
+        ({"by_address": 3}, "10.0.0.{0}", None),
+        ({"by_address": 3}, "10.0.0.1", Reason.ADDRESS),
+        ({"by_prefix": 3}, "10.0.0.{0}", Reason.PREFIX),
+        ({"by_prefix": 3}, "10.0.{0}.1", None),
+        ({"by_prefix": 3}, "2001:db8::{0}", Reason.PREFIX),
+        ({"by_prefix": 3}, "::ffff:10.0.0.{0}", Reason.PREFIX),
+        ({"unidentified": 3}, "10.0.{0}.1", Reason.UNIDENTIFIED),
+        ({"address_a_second": 3.0}, "10.0.0.1", Reason.RATE_ADDRESS),
+        ({"address_a_second": 3.0}, "10.0.0.{0}", None),
+        ({"prefix_a_second": 3.0}, "10.0.0.{0}", Reason.RATE_PREFIX),
+        ({"by_prefix": 3, "prefix_a_second": 3.0}, "10.9.0.{0}", None),
+        ({"by_address": 3, "shared": (Shared(ipaddress.ip_network("10.0.0.0/30"), 2),)}, "10.0.0.1", None),
+    ],
+)
 def test_caps_and_rates_count_for_strangers_by_address_and_prefix(
-        limits: dict[str, Any], address: str, reason: Reason | None) -> None:
+    limits: dict[str, Any], address: str, reason: Reason | None
+) -> None:
     gate = Gate(dataclasses.replace(BASE, **limits))
     verdicts = [gate.arrive(address.format(number + 1), 1000.0 + number) for number in range(4)]
     assert [verdict.reason for verdict in verdicts] == [None, None, None, reason]
@@ -310,16 +371,30 @@
 
 
 def test_memory_is_bounded_whatever_comes() -> None:
-    gate = Gate(dataclasses.replace(BASE, by_address=2, address_a_second=5.0, prefix_a_second=50.0,
-                                    back_off_ms=10.0, remembered=64))
+    gate = Gate(
+        dataclasses.replace(
+            BASE, by_address=2, address_a_second=5.0, prefix_a_second=50.0, back_off_ms=10.0, remembered=64
+        )
+    )
     for number in range(20_000):
         address = f"10.{number % 7}.{number // 256 % 256}.{number % 256}"
         verdict = gate.arrive(address, number * 0.5)
         gate.offends(address, number * 0.5)
         if verdict.seat is not None and number % 3 == 0:
             gate.earns(verdict.seat, number * 0.5)
-    sizes = [len(table) for table in (gate.address_rates, gate.prefix_rates, gate.offenders, gate.earned,
-                                      gate.by_address, gate.by_prefix, gate.seats, gate._of)]
+    sizes = [
+        len(table)
+        for table in (
+            gate.address_rates,
+            gate.prefix_rates,
+            gate.offenders,
+            gate.earned,
+            gate.by_address,
+            gate.by_prefix,
+            gate.seats,
+            gate._of,
+        )
+    ]
     assert max(sizes) <= 64
 
 
@@ -397,13 +472,16 @@
 
 
 def test_idle_clients_fill_the_table_while_the_bus_is_away_and_it_and_servers_are_dialled() -> None:
-    world = play("""
+    world = play(
+        """
         send c1 START a class=race left=8000 extras=dest:0
         expect s0 START a
         send s0 STARTED a blob=x
         close bus dead
         close s1 dead
-    """, platform())
+    """,
+        platform(),
+    )
     agent, factory = world.agent, world.reactor.factory
     ledger = agent.gate.descriptors
     for _ in range(2 * agent.config.sockets):
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -34,8 +34,8 @@
         return Steady, (self.at,)
 
     def random(self) -> float:
-        self.at = (self.at * 6364136223846793005 + 1442695040888963407) % 2 ** 64
-        return (self.at >> 11) / 2 ** 53
+        self.at = (self.at * 6364136223846793005 + 1442695040888963407) % 2**64
+        return (self.at >> 11) / 2**53
 
     def getrandbits(self, bits: int, /) -> int:
         self.random()
@@ -141,8 +141,9 @@
 
     def check(self) -> None:
         """A2, A3: logs that agree at an index agree before it, a leader has all that was committed."""
-        logs = {name: {entry.index: entry for entry in agent.log.entries}
-                for name, agent in self.agents.items()}
+        logs = {
+            name: {entry.index: entry for entry in agent.log.entries} for name, agent in self.agents.items()
+        }
         for name, agent in self.agents.items():
             for index in range(agent.log.base.index + 1, agent.commit + 1):
                 assert logs[name][index] == self.committed[index]
@@ -187,10 +188,22 @@
 
 
 def key(world: World) -> bytes:
-    shown = [(name, agent.role, agent.term, agent.vote, agent.leader, agent.commit, agent.voters,
-              sorted(agent.granted), agent.log.entries, agent.log.base.index,
-              sorted((peer, at.next, at.match) for peer, at in agent.peers.items()))
-             for name, agent in sorted(world.agents.items())]
+    shown = [
+        (
+            name,
+            agent.role,
+            agent.term,
+            agent.vote,
+            agent.leader,
+            agent.commit,
+            agent.voters,
+            sorted(agent.granted),
+            agent.log.entries,
+            agent.log.base.index,
+            sorted((peer, at.next, at.match) for peer, at in agent.peers.items()),
+        )
+        for name, agent in sorted(world.agents.items())
+    ]
     return hashlib.sha256(repr((shown, sorted(world.disks), world.flight[:6])).encode()).digest()
 
 
@@ -237,7 +250,8 @@
         name = chance.choice(names)
         what = chance.choices(
             ("deliver", "lose", "double", "tick", "propose", "read", "crash", "compact", "time"),
-            (50, 4, 4, 12, 6, 3, 1, 2, 6))[0]
+            (50, 4, 4, 12, 6, 3, 1, 2, 6),
+        )[0]
         if what == "time":
             world.now += chance.choice((1.0, 100.0, 400.0))
         elif what in ("deliver", "lose", "double"):
@@ -385,8 +399,10 @@
 
 
 def no_term(self: Leading, now: float) -> None:
-    matches = sorted((self.log.last_index if name == self.name else self.peers[name].match
-                      for name in self.voters), reverse=True)
+    matches = sorted(
+        (self.log.last_index if name == self.name else self.peers[name].match for name in self.voters),
+        reverse=True,
+    )
     if matches[len(matches) // 2] > self.commit:
         self._committed(matches[len(matches) // 2], now)
 
@@ -411,7 +427,8 @@
     "a new disk votes": (Raft, "voter", lambda self: self.name in self.voters, lost_disk),
     "entries not durable": (Log, "append", lambda self, entries: self.entries.extend(entries) or [], walks),
     "a read without a round": (Leading, "_read_request", read_at_once, stale_read),
-    "commits beyond what agrees": (Raft, "_take_entries", lambda self, index, term, entries: index, walks)}
+    "commits beyond what agrees": (Raft, "_take_entries", lambda self, index, term, entries: index, walks),
+}
 
 
 @pytest.mark.parametrize("play", [figure_8, removed_that_asks, lost_disk, stale_read])
@@ -435,8 +452,13 @@
         monkeypatch.setattr(Raft, "_ask_for_votes", asks_at_once)
     if name == "a new disk votes":
         counted = Raft._vote_reply
-        monkeypatch.setattr(Raft, "_vote_reply", lambda self, sender, reply, now: counted(
-            self, sender, msgspec.structs.replace(reply, disk=self.voters.get(sender, -1)), now))
+        monkeypatch.setattr(
+            Raft,
+            "_vote_reply",
+            lambda self, sender, reply, now: counted(
+                self, sender, msgspec.structs.replace(reply, disk=self.voters.get(sender, -1)), now
+            ),
+        )
     with pytest.raises((AssertionError, KeyError, ValueError, IndexError)):
         play()
 
@@ -573,10 +595,17 @@
 @pytest.mark.parametrize("seed", range(40))
 def test_a_later_versions_command_holds_an_earlier_one_until_its_upgrade(seed: int) -> None:
     chance = random.Random(seed)
-    entries = [said.Entry(index, 1, "" if chance.random() < 0.1 else f"a/1#{chance.randint(1, 50)}",
-                          chance.choice(["note"] * 9 + ["more"]), chance.choice([1] * 9 + [2]),
-                          msgspec.msgpack.encode(Note("x")) if chance.random() < 0.9 else b"!")
-               for index in range(1, 80)]
+    entries = [
+        said.Entry(
+            index,
+            1,
+            "" if chance.random() < 0.1 else f"a/1#{chance.randint(1, 50)}",
+            chance.choice(["note"] * 9 + ["more"]),
+            chance.choice([1] * 9 + [2]),
+            msgspec.msgpack.encode(Note("x")) if chance.random() < 0.9 else b"!",
+        )
+        for index in range(1, 80)
+    ]
     first = next((entry.index for entry in entries if (entry.kind, entry.version) != ("note", 1)), 80)
     earlier, later = Applying(Machine(), 0, b""), Applying(Later(), 0, b"")
     snapshots = {0: b""}
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -31,24 +31,27 @@
 """
 ASKED_AND_GIVEN_UP = (
     r'{"verb":"START","tag":"000000000000000a","opts":{"class":"race","left":"3000"},"blob":"x"}\n'
-    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n')
+    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n'
+)
 GONE = {
-    "closed, held by the module": HELD + """
+    "closed, held by the module": HELD
+    + """
         close c1 unheard
         wait 400
         expect s0 nothing
         expect s1 nothing
         expect agent open 0
     """,
-    "cancelled, held by the module, and come again under its id: one attempt": HELD + """
+    "cancelled, held by the module, and come again under its id: one attempt": HELD
+    + """
         send c1 FINISH a rc=16
         send c1 START a class=race left=3000 extras=dest:0
         wait 400
         expect s0 START a
         expect s1 nothing
     """,
-    "cancelled by one that does not read, held by the module: heard, and what it asks meanwhile is not begun":
-    HELD + """
+    "cancelled by one that does not read, held by the module: heard, what it asks then is not begun": HELD
+    + """
         send c1 stuck
         send c1 START b class=race left=3000 extras=dest:0
         send c1 FINISH a rc=16
@@ -67,11 +70,14 @@
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         wait 600
-        send c1 raw """ + ASKED_AND_GIVEN_UP + """
+        send c1 raw """
+    + ASKED_AND_GIVEN_UP
+    + """
         expect s0 nothing
         expect c1 FINISHED a
     """,
-    "closed, waiting for the release guard": RESET + """
+    "closed, waiting for the release guard": RESET
+    + """
         close c1 unheard
         wait 800
         expect s0 nothing
@@ -87,21 +93,24 @@
         expect s1 nothing
         expect agent open 0
     """,
-    "closed, behind a dial that comes up": LATE_DIAL + """
+    "closed, behind a dial that comes up": LATE_DIAL
+    + """
         close c1 unheard
         wait 300
         send s0 up
         expect s0 nothing
         expect agent open 0
     """,
-    "its server drains past the grace, behind a dial that comes up": LATE_DIAL + f"""
+    "its server drains past the grace, behind a dial that comes up": LATE_DIAL
+    + f"""
         send bus {event(2, host(0, "draining"))}
         wait 499
         send s0 up
         expect s0 nothing
         expect s1 START a
     """,
-    "its server leaves the list, behind a dial that never comes up": LATE_DIAL + f"""
+    "its server leaves the list, behind a dial that never comes up": LATE_DIAL
+    + f"""
         send bus {event(2, host(0, "gone"))}
         expect s1 START a
     """,
@@ -117,7 +126,8 @@
     expect c1 nothing
 """
 ANSWERED = {
-    "an end that overtakes its answer, on another connection: the client hears both": TWO_CONNECTIONS + """
+    "an end that overtakes its answer, on another connection: the client hears both": TWO_CONNECTIONS
+    + """
         send s0 STARTED a blob=table
         expect c1 STARTED a blob=table
         expect c1 FINISH a rc=16
@@ -126,7 +136,8 @@
         send c1 FINISHED a
         expect agent open 2
     """,
-    "an end whose answer never comes: a failure, and no further attempt": TWO_CONNECTIONS + """
+    "an end whose answer never comes: a failure, and no further attempt": TWO_CONNECTIONS
+    + """
         send s0 FINISH b rc=34
         expect s1 START b
         send s0 FINISH c rc=34
@@ -137,7 +148,8 @@
         wait 600
         expect s1 nothing
     """,
-    "an end whose answer never comes, the client gives up: no call stands": TWO_CONNECTIONS + """
+    "an end whose answer never comes, the client gives up: no call stands": TWO_CONNECTIONS
+    + """
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         expect s0 FINISHED a
@@ -243,12 +255,15 @@
 
 
 def test_a_close_behind_a_turn_of_lines_stops_the_set_ups_before_it_and_not_the_releases() -> None:
-    world = play("""
+    world = play(
+        """
         send c1 START b class=race left=3000 extras=dest:0
         expect s0 START b
         send s0 STARTED b blob=x
         expect c1 STARTED b
-    """, platform())
+    """,
+        platform(),
+    )
     wire = flood(world, Message("FINISH", "b".zfill(16), rc=16).encode())
     wire.protocol.connectionLost(failure(error.ConnectionLost))
     world.settle()
@@ -274,6 +289,13 @@
 def test_a_request_that_the_module_has_lost_sight_of_is_answered_just_after_its_time() -> None:
     world = play("send c1 ECHO 1 rc=0", platform())
     world.agent.broker.module = type("Deaf", (), {"handle": lambda self, event, now: []})()
-    for line in ("expect c1 ECHOED", "send c1 START a class=race left=1000", "wait 1009", "expect c1 nothing",
-                 "wait 2", "expect c1 FINISH a rc=41", "expect agent open 0"):
+    for line in (
+        "expect c1 ECHOED",
+        "send c1 START a class=race left=1000",
+        "wait 1009",
+        "expect c1 nothing",
+        "wait 2",
+        "expect c1 FINISH a rc=41",
+        "expect agent open 0",
+    ):
         world.step(line)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -18,9 +18,17 @@
 COLD_FROM, COLD_MS, MULTIPLE, FALL_MS, WAY_MS = 0.34, 10_000.0, 3.0, 2000.0, 12.0
 SERVERS, LOAD, PROBE_WORK = 6, 0.9, 0.28  # of a set-up's work, as dear as a probe gets
 SETTINGS = api.Settings(
-    (api.CallClass("race", 1500.0, 9000.0, holding_ms=9000.0),), release_guard_ms=500.0, retransmit_ms=400.0,
-    cold_from=COLD_FROM, cold_ms=COLD_MS, fall_multiple=MULTIPLE, fall_ms=FALL_MS, try_limit=4,
-    may_cancel=True, probes=True)
+    (api.CallClass("race", 1500.0, 9000.0, holding_ms=9000.0),),
+    release_guard_ms=500.0,
+    retransmit_ms=400.0,
+    cold_from=COLD_FROM,
+    cold_ms=COLD_MS,
+    fall_multiple=MULTIPLE,
+    fall_ms=FALL_MS,
+    try_limit=4,
+    may_cancel=True,
+    probes=True,
+)
 
 
 class Fleet:
@@ -52,13 +60,20 @@
         self.now = end
 
     def servers(self) -> tuple[api.Server, ...]:
-        return tuple(api.Server(f"s{number}", number, api.Lifecycle.READY, "", started)
-                     for number, started in self.started.items())
+        return tuple(
+            api.Server(f"s{number}", number, api.Lifecycle.READY, "", started)
+            for number, started in self.started.items()
+        )
 
     def boot(self, me: int) -> Controller:
         self.lives[me] += 1
-        settings = api.Settings(**{name: getattr(SETTINGS, name) for name in SETTINGS.__slots__
-                                   if name not in ("me", "siblings")}, me=me, siblings=self.agents)
+        settings = api.Settings(
+            **{
+                name: getattr(SETTINGS, name) for name in SETTINGS.__slots__ if name not in ("me", "siblings")
+            },
+            me=me,
+            siblings=self.agents,
+        )
         module = Controller(settings, self.chance.getrandbits(32))
         if self.lives[me] == 1:
             self.at(0.0, lambda: self.give(me, api.ListUpdate(api.ListKind.PERSISTED, 1, self.servers())))
@@ -78,8 +93,12 @@
                     self.at(after, lambda name=name: self.tell(me, life, api.TimerFired(name)))  # type: ignore[misc]
                 case api.Probe(server):
                     self.came[int(server[1:])].append((self.now, PROBE_WORK))
-                    self.at(WAY_MS, lambda server=server: self.tell(  # type: ignore[misc]
-                        me, life, api.ServerReport(server, api.Outcome.OK, WAY_MS)))
+                    self.at(
+                        WAY_MS,
+                        lambda server=server: self.tell(  # type: ignore[misc]
+                            me, life, api.ServerReport(server, api.Outcome.OK, WAY_MS)
+                        ),
+                    )
 
     def tell(self, me: int, life: int, event: api.Event) -> None:
         if self.lives[me] == life:
@@ -103,7 +122,7 @@
         if not self.calls:
             self.attempts = {}
         self.calls += 1
-        me, = self.chance.choices(range(self.agents), self.weights)
+        (me,) = self.chance.choices(range(self.agents), self.weights)
         first = self.chance.randrange(SERVERS)
         self.give(me, api.CallArrived(f"c{self.calls}", "race", "", 9000.0, first))
 
@@ -163,8 +182,11 @@
 
 
 CASES: dict[str, Callable[[Fleet], list[int]]] = {
-    "one replaced": one, "all but one replaced": most, "all agents restarted, half cold": restarted,
-    "all agents restarted, all cold": restarted_cold}
+    "one replaced": one,
+    "all but one replaced": most,
+    "all agents restarted, half cold": restarted,
+    "all agents restarted, all cold": restarted_cold,
+}
 
 
 @pytest.mark.parametrize("agents", [20, 30, 200])
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -25,8 +25,13 @@
 
 
 def async_api(**changes: Any) -> dict[str, Any]:
-    return {"asyncapi": "3.0.0", "operations": {
-        "ask": {"action": "receive", contracts.EXTENSION: {**TERMS, **changes}}, "other": {"action": "send"}}}
+    return {
+        "asyncapi": "3.0.0",
+        "operations": {
+            "ask": {"action": "receive", contracts.EXTENSION: {**TERMS, **changes}},
+            "other": {"action": "send"},
+        },
+    }
 
 
 def open_api() -> dict[str, Any]:
@@ -38,15 +43,26 @@
     assert contracts.read(document) == [Contract("race", 1000.0, 2000.0, 2, 2.0)]
 
 
-@pytest.mark.parametrize(("document", "told"), [
-    ([], "document: not an object"), ({"openapi": "2.0"}, "document: neither"),
-    ({"asyncapi": "3.0.0"}, "document: no operation"), ({"openapi": "3.0.0", "paths": []}, "paths: not"),
-    (async_api(attempts=0), "operations.ask.x-frostport-contract.attempts"),
-    (async_api(attempts=1.5), "attempts: not a whole"), (async_api(aim_ms=3000), "aim_ms: past"),
-    (async_api(**{"class": ""}), "class: no name"), (async_api(limit=3), "limit: unknown field"),
-    (async_api(set_ups_per_second=True), "set_ups_per_second"), (async_api(deadline_ms="2 s"), "deadline_ms"),
-    ({"asyncapi": "3.0.0", "operations": {name: {contracts.EXTENSION: TERMS} for name in "ab"}},
-     "a second contract for race")])
+@pytest.mark.parametrize(
+    ("document", "told"),
+    [
+        ([], "document: not an object"),
+        ({"openapi": "2.0"}, "document: neither"),
+        ({"asyncapi": "3.0.0"}, "document: no operation"),
+        ({"openapi": "3.0.0", "paths": []}, "paths: not"),
+        (async_api(attempts=0), "operations.ask.x-frostport-contract.attempts"),
+        (async_api(attempts=1.5), "attempts: not a whole"),
+        (async_api(aim_ms=3000), "aim_ms: past"),
+        (async_api(**{"class": ""}), "class: no name"),
+        (async_api(limit=3), "limit: unknown field"),
+        (async_api(set_ups_per_second=True), "set_ups_per_second"),
+        (async_api(deadline_ms="2 s"), "deadline_ms"),
+        (
+            {"asyncapi": "3.0.0", "operations": {name: {contracts.EXTENSION: TERMS} for name in "ab"}},
+            "a second contract for race",
+        ),
+    ],
+)
 def test_a_bad_contract_is_told_by_its_field(document: object, told: str) -> None:
     with pytest.raises(ContractError, match=re.escape(told)):
         contracts.read(document)
@@ -85,7 +101,8 @@
 
 
 def test_over_budget_is_refused_at_once(tmp_path: pathlib.Path) -> None:
-    play("""
+    play(
+        """
         send c1 START a class=race left=3000 tenant=red extras=dest:0
         expect s0 START a left=2000
         send c1 START b class=race left=900 tenant=red extras=dest:0
@@ -104,43 +121,62 @@
         expect s0 FINISHED e
         expect s0 nothing
         expect s1 nothing
-    """, under_contract(tmp_path, platform()))
+    """,
+        under_contract(tmp_path, platform()),
+    )
 
 
 def test_over_budget_a_diameter_client_hears_when_to_come_back(tmp_path: pathlib.Path) -> None:
-    play("""
+    play(
+        """
         send c1 CCR-I a dest=s0 oc=1
         expect s0 CCR-I a wait=2000
         send c1 CCR-I b dest=s0 oc=1
         expect s0 CCR-I b
         send c1 CCR-I c dest=s0 oc=1
         expect c1 CCA-I c result=3004 back=1
-    """, under_contract(tmp_path, diameter.config()), diameter.DiameterWorld)
+    """,
+        under_contract(tmp_path, diameter.config()),
+        diameter.DiameterWorld,
+    )
 
 
 # The configuration and the command line
 
 SOUND = platform()
 PARSED = [
-    ({"listen": "nowhere"}, "listen"), ({"listen": None}, "listen"), ({"seed": "xyz"}, "seed"),
-    ({"settings": {}}, "settings.services"), ({"settings": []}, "settings"), ({"peers": ["a"]}, "peers.0"),
+    ({"listen": "nowhere"}, "listen"),
+    ({"listen": None}, "listen"),
+    ({"seed": "xyz"}, "seed"),
+    ({"settings": {}}, "settings.services"),
+    ({"settings": []}, "settings"),
+    ({"peers": ["a"]}, "peers.0"),
     ({"settings": {**SETTINGS, "me": "one"}}, "settings.me"),
     ({"limits": {"sockets": "9"}}, "limits.sockets"),
-    ({"known": {"offset": "1"}}, "known.offset"), ({"known": {"batch": [1]}}, "known.batch.0"),
-    ({"bus": 4}, "bus"), ({"contracts": ["absent.json"]}, "absent.json"), ({"contracts": [1]}, "contracts.0"),
-    ({"diameter": {}}, "diameter.clients"), ({"diameter": {"clients": ["c"]}}, "diameter.servers"),
+    ({"known": {"offset": "1"}}, "known.offset"),
+    ({"known": {"batch": [1]}}, "known.batch.0"),
+    ({"bus": 4}, "bus"),
+    ({"contracts": ["absent.json"]}, "absent.json"),
+    ({"contracts": [1]}, "contracts.0"),
+    ({"diameter": {}}, "diameter.clients"),
+    ({"diameter": {"clients": ["c"]}}, "diameter.servers"),
     ({"diameter": {**diameter.config()["diameter"], "watchdog_ms": 100}}, "diameter.watchdog_ms"),
     ({"diameter": {**diameter.config()["diameter"], "realm": ""}}, "diameter.realm"),
-    ({"diameter": {**diameter.config()["diameter"], "servers": [{"host": "s", "dial": "s"}]}},
-     "diameter.servers.0.dial"),
-    ({"settings": {**SETTINGS, "caps": {"probes": True}}, "diameter": diameter.config()["diameter"]},
-     "settings.caps")]
+    (
+        {"diameter": {**diameter.config()["diameter"], "servers": [{"host": "s", "dial": "s"}]}},
+        "diameter.servers.0.dial",
+    ),
+    (
+        {"settings": {**SETTINGS, "caps": {"probes": True}}, "diameter": diameter.config()["diameter"]},
+        "settings.caps",
+    ),
+]
 
 
 @pytest.mark.parametrize(("changes", "named"), PARSED)
 def test_a_bad_configuration_ends_with_2_and_names_its_field(
-        changes: dict[str, Any], named: str, tmp_path: pathlib.Path,
-        capsys: pytest.CaptureFixture[str]) -> None:
+    changes: dict[str, Any], named: str, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps({**copy.deepcopy(SOUND), **changes}))
     assert cli.main(["check-config", "--config", str(path)]) == 2
@@ -162,6 +198,7 @@
 
 # The description of the platform's port
 
+
 def test_the_description_covers_what_is_said_on_the_port() -> None:
     """Every message of the scenarios, either way on the clients' side, is one that the description allows."""
     messages = DESCRIPTION["components"]["messages"].values()
@@ -175,8 +212,11 @@
         world = Described(platform())
         for _, line in lines(script):
             words = line.split()
-            well_formed = (words[:2] in (["send", "c1"], ["send", "c2"])
-                           and words[2] not in ("raw", "stuck", "unstuck"))
+            well_formed = words[:2] in (["send", "c1"], ["send", "c2"]) and words[2] not in (
+                "raw",
+                "stuck",
+                "unstuck",
+            )
             if well_formed and "unheard" not in line and "soon" not in line and "key=zz" not in line:
                 said = orjson.loads(world.actors[words[1]].encode(line.split(" ", 2)[2]))
                 if said["verb"] == "START":
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -12,17 +12,21 @@
     send c1 CCR-I a dest=s0 wait=3000 key=500
     expect s0 CCR-I a wait=3000 key=500 svc=race@here
 """
-STANDS = SET_UP + """
+STANDS = (
+    SET_UP
+    + """
     send s0 CCA a result=2001 key=table-7
     expect c1 CCA-I a result=2001 key=table-7 error=0
 """
+)
 LOST = """
     send s0 mute
     wait 8100
     wait 8100
 """
 SCENARIOS = {
-    "a call stands; its server ends it": STANDS + """
+    "a call stands; its server ends it": STANDS
+    + """
         send s0 ASR a cause=1
         expect s0 ASA a result=2001
         expect c1 ASR a cause=1
@@ -31,7 +35,8 @@
         expect s0 ASA a result=5002
         expect c1 nothing
     """,
-    "a call stands; its client releases it": STANDS + """
+    "a call stands; its client releases it": STANDS
+    + """
         send c1 CCR-T a
         expect s0 CCR-T a
         send s0 CCA-T a result=2001
@@ -39,13 +44,15 @@
         expect s0 nothing
         expect c1 nothing
     """,
-    "a busy server: the other one is tried at once": SET_UP + """
+    "a busy server: the other one is tried at once": SET_UP
+    + """
         send s0 CCA a result=3004
         expect s1 CCR-I a
         send s1 CCA a result=2001
         expect c1 CCA-I a result=2001
     """,
-    "other errors use up the attempts: failed": SET_UP + """
+    "other errors use up the attempts: failed": SET_UP
+    + """
         send s0 CCA a result=5012
         expect s1 CCR-I a
         send s1 CCA a result=4002
@@ -55,7 +62,8 @@
         send s1 CCA a result=5012
         expect c1 CCA-I a result=5012 error=0
     """,
-    "time runs out: one answer, the set-up is ended, a late answer changes nothing": SET_UP + """
+    "time runs out: one answer, the set-up is ended, a late answer changes nothing": SET_UP
+    + """
         wait 2999
         expect c1 nothing
         wait 2
@@ -82,7 +90,8 @@
         wait 2
         expect c2 closed
     """,
-    "an answer that can't be read ends its connection, and all that is open on it": SET_UP + """
+    "an answer that can't be read ends its connection, and all that is open on it": SET_UP
+    + """
         send c2 CCR-I b dest=s0 wait=3000
         expect s0 CCR-I b
         send s0 CCA a result=2001 with=268:40:07
@@ -91,7 +100,8 @@
         expect s1 CCR-I a
         expect s1 CCR-I b
     """,
-    "a call that ends before its answer came has failed, and is not sent again": SET_UP + """
+    "a call that ends before its answer came has failed, and is not sent again": SET_UP
+    + """
         send s0 ASR a cause=1
         expect s0 ASA a result=2001
         expect c1 CCA-I a result=5012
@@ -101,7 +111,8 @@
         expect s1 nothing
         expect c1 nothing
     """,
-    "a second copy of an answer, or one to nothing asked, changes nothing": SET_UP + """
+    "a second copy of an answer, or one to nothing asked, changes nothing": SET_UP
+    + """
         send s0 CCA a result=2001
         send s0 CCA a result=2001
         expect c1 CCA-I a result=2001
@@ -123,7 +134,8 @@
         expect c1 closed
         expect s0 CCR-T a
     """,
-    "a client that closed, heard by the system alone, held for a retry: nothing begins for it": SET_UP + """
+    "a client that closed, heard by the system alone, held for a retry: nothing begins for it": SET_UP
+    + """
         send s0 CCA a result=3004
         expect s1 CCR-I a
         send s1 CCA a result=3004
@@ -133,15 +145,19 @@
         expect s1 nothing
         expect agent open 0
     """,
-    "duplicates without end": SET_UP + 7 * """
+    "duplicates without end": SET_UP
+    + 7
+    * """
         send c1 CCR-I a dest=s0 wait=3000
-    """ + """
+    """
+    + """
         expect c1 nothing
         send c1 CCR-I a dest=s0 wait=3000
         expect c1 CCA-I a result=3004
         expect s0 nothing
     """,
-    "a late answer after a give-up": SET_UP + """
+    "a late answer after a give-up": SET_UP
+    + """
         send c1 CCR-T a
         expect s0 CCR-T a
         send s0 CCA a result=2001
@@ -161,7 +177,8 @@
         send c1 CCR-I a wait=8000 oc=1
         expect c1 CCA-I a result=3004 back=2
     """,
-    "a duplicate gets the same answer, and is no second call": SET_UP + """
+    "a duplicate gets the same answer, and is no second call": SET_UP
+    + """
         send c1 CCR-I a dest=s0 wait=3000
         expect s0 nothing
         send s0 CCA a result=2001
@@ -171,7 +188,8 @@
         expect c1 CCA-I a result=2001
         expect s0 nothing
     """,
-    "a watchdog lost in flight: draining, no resend while the attempt is out": SET_UP + """
+    "a watchdog lost in flight: draining, no resend while the attempt is out": SET_UP
+    + """
         send c1 CCR-I long dest=s0 wait=30000
         expect s0 CCR-I long
         wait 3000
@@ -190,7 +208,8 @@
         send s1 CCA long result=2001
         expect c1 CCA-I long result=2001
     """,
-    "a watchdog answered late: the peer is trusted again, and not cold": SET_UP + """
+    "a watchdog answered late: the peer is trusted again, and not cold": SET_UP
+    + """
         send s0 CCA a result=2001
         expect c1 CCA-I a
         send c1 CCR-T a
@@ -203,7 +222,8 @@
         send c1 CCR-I b dest=s0 wait=3000
         expect s0 CCR-I b
     """,
-    "a peer lost for good: what stood there is over within 8 s, and ended there when it is back": STANDS + """
+    "a peer lost for good: what stood there is over within 8 s, and ended there when it is back": STANDS
+    + """
         close s0 dead
         wait 6900
         expect c1 nothing
@@ -213,7 +233,8 @@
         wait 1000
         expect s0 CCR-T a
     """,
-    "a peer that falls silent on an open connection: what stood there is over within 8 s": STANDS + """
+    "a peer that falls silent on an open connection: what stood there is over within 8 s": STANDS
+    + """
         send s0 mute
         wait 6900
         expect c1 nothing
@@ -224,7 +245,8 @@
         wait 1100
         expect s0 CCR-T a
     """,
-    "one that is heard again before: what stood there stands": STANDS + """
+    "one that is heard again before: what stood there stands": STANDS
+    + """
         send s0 mute
         wait 5500
         send s0 unmute
@@ -234,7 +256,8 @@
         send s0 ASR a cause=1
         expect c1 ASR a
     """,
-    "a peer back soon with its state: what stood there stands": STANDS + """
+    "a peer back soon with its state: what stood there stands": STANDS
+    + """
         close s0
         wait 1000
         wait 10000
@@ -242,7 +265,8 @@
         send s0 ASR a cause=1
         expect c1 ASR a
     """,
-    "a peer back cold: its sessions are over, it passes REOPEN": STANDS + """
+    "a peer back cold: its sessions are over, it passes REOPEN": STANDS
+    + """
         close s0
         send s0 state=2
         wait 1000
@@ -255,7 +279,8 @@
         send c1 CCR-I c dest=s0 wait=3000
         expect s0 CCR-I c
     """,
-    "a peer that says goodbye gets nothing new; its set-up goes on": SET_UP + """
+    "a peer that says goodbye gets nothing new; its set-up goes on": SET_UP
+    + """
         send s0 DPR why=0
         expect s0 DPA result=2001
         send c1 CCR-I b dest=s0 wait=3000
@@ -265,12 +290,14 @@
         close s0
         expect c1 nothing
     """,
-    "a client's set-ups go with its connection": SET_UP + """
+    "a client's set-ups go with its connection": SET_UP
+    + """
         close c1
         expect s0 CCR-T a
         expect agent open 0
     """,
-    "a release waits for its client": STANDS + """
+    "a release waits for its client": STANDS
+    + """
         close c1
         send s0 ASR a cause=1
         expect s0 ASA a result=2001
@@ -279,7 +306,8 @@
         send c1 DWR
         expect c1 ASR a
     """,
-    "a session belongs to its client": STANDS + """
+    "a session belongs to its client": STANDS
+    + """
         send c2 CCR-T a
         expect s0 nothing
         send c2 CCR-I a
@@ -382,7 +410,8 @@
         expect s0 CCR-I a
         expect c1 nothing
     """,
-    "sigterm: what is taken is answered, then the peers hear goodbye": SET_UP + """
+    "sigterm: what is taken is answered, then the peers hear goodbye": SET_UP
+    + """
         send agent term
         wait 1000
         send c1 CCR-I b dest=s0
@@ -414,7 +443,8 @@
         (2.0, "s1", "hears", {"": "CCR-T", "tag": "a"}, None),
         (400.0, "s0", "hears", {"": "CCR-I", "tag": "a"}, None),
         (2500.0, "s0", "hears", {"": "CCR-I", "tag": "b"}, 400.0),
-        (2600.0, "c1", "hears", {"": "CCA-I", "tag": "b"}, None)]
+        (2600.0, "c1", "hears", {"": "CCA-I", "tag": "b"}, None),
+    ]
     assert len(list(audit(world))) == 4
 
 
@@ -426,19 +456,22 @@
 
 @pytest.mark.parametrize("at", range(1, 60, 7))
 def test_messages_come_whole_out_of_any_split(at: int) -> None:
-    message = avp.Message(avp.CC, 4, 7, 9, avp.REQUEST, [avp.make(avp.SESSION_ID, "ab"),
-                                                         avp.make(avp.MAXIMUM_WAIT_TIME, 5)])
+    message = avp.Message(
+        avp.CC, 4, 7, 9, avp.REQUEST, [avp.make(avp.SESSION_ID, "ab"), avp.make(avp.MAXIMUM_WAIT_TIME, 5)]
+    )
     data = message.encode() * 2
     frames = avp.Frames()
     found = frames.feed(data[:at]) + frames.feed(data[at:])
     assert found == [message.encode()] * 2
     read = avp.read_header(found[0])
-    read.avps = avp.read_avps(found[0][avp.HEADER:])
+    read.avps = avp.read_avps(found[0][avp.HEADER :])
     assert read.get(avp.SESSION_ID) == "ab" and read.get(avp.MAXIMUM_WAIT_TIME) == 5
 
 
 def test_a_draining_agent_refuses_a_peer_that_still_has_calls() -> None:
-    play(STANDS + """
+    play(
+        STANDS
+        + """
         door drain => OK draining
         send c1 CCR-I b dest=s1 wait=3000
         expect c1 CCA-I b result=3004
@@ -448,4 +481,7 @@
         door resume => OK serving
         send c1 CCR-I d dest=s1 wait=3000
         expect s1 CCR-I d
-    """, {**config(), "operator": "127.0.0.1:3"}, DiameterWorld)
+    """,
+        {**config(), "operator": "127.0.0.1:3"},
+        DiameterWorld,
+    )
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -51,10 +51,13 @@
     assert [action for action in done if isinstance(action, api.SendAttempt)]
 
 
-@pytest.mark.parametrize(("scope", "window_ms", "repeats"), [
-    ("cell", 5000.0, True), ("cell", 100.0, False), ("zone", 5000.0, True), ("nobody", 5000.0, False)])
-def test_a_token_is_repeated_only_where_and_while_repeats_are_discarded(scope: str, window_ms: float,
-                                                                         repeats: bool) -> None:
+@pytest.mark.parametrize(
+    ("scope", "window_ms", "repeats"),
+    [("cell", 5000.0, True), ("cell", 100.0, False), ("zone", 5000.0, True), ("nobody", 5000.0, False)],
+)
+def test_a_token_is_repeated_only_where_and_while_repeats_are_discarded(
+    scope: str, window_ms: float, repeats: bool
+) -> None:
     first, done = after(proxy(Effect.TOKEN, scope, window_ms), Outcome.RESET)
     again = [number_of(action.server) for action in done if isinstance(action, api.SendAttempt)]
     assert bool(again) is repeats and (scope != "cell" or set(again) <= {first})
@@ -66,10 +69,13 @@
     record = platform()
     services = [{**record["settings"]["services"][0], "effect": "side_effect"}]
     record["settings"] = {**record["settings"], "services": services}
-    world = play("""
+    world = play(
+        """
         send c1 START a class=race left=8000 extras=dest:0
         expect s0 START a
-    """, record)
+    """,
+        record,
+    )
     module: Any = world.agent.broker.module
     module.calls["a".zfill(16)].cls = dataclasses.replace(module.classes["race"], effect=Effect.PURE)
     for line in ("send s0 FINISH a rc=41", "wait 2000", "expect s0 nothing", "expect s1 nothing"):
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -29,9 +29,18 @@
 
 def test_every_figure_starts_at_0_but_the_list_and_the_load() -> None:
     assert figures(played("")) == {
-        "answered.race": 0, "deferred.race": 0, "errored.race": 0, "sends.race": 0, "current": 0,
-        "cluster_size": 2, "cluster_unhealthy": 0, "conf_loaded": 1, "conf_invalid": 0,
-        "calls_cut": 0, "servers_suspected": 0}
+        "answered.race": 0,
+        "deferred.race": 0,
+        "errored.race": 0,
+        "sends.race": 0,
+        "current": 0,
+        "cluster_size": 2,
+        "cluster_unhealthy": 0,
+        "conf_loaded": 1,
+        "conf_invalid": 0,
+        "calls_cut": 0,
+        "servers_suspected": 0,
+    }
 
 
 def test_each_figure_counts_its_event() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,14 +11,18 @@
 from frostport import interface as api
 from tests.bench import SETTINGS, Proxy, number_of, sends, server
 
-CLASSES = (api.CallClass("plain", 2000.0, 9000.0, 1.0, 0.2, holding_ms=10_000.0),
-           api.CallClass("dear", 1200.0, 9000.0, 4.0, 0.2, holding_ms=10_000.0))
+CLASSES = (
+    api.CallClass("plain", 2000.0, 9000.0, 1.0, 0.2, holding_ms=10_000.0),
+    api.CallClass("dear", 1200.0, 9000.0, 4.0, 0.2, holding_ms=10_000.0),
+)
 COLUMNS = ("free", "size", "mean_ms")
 
 
 def fleet(proxies: int, servers: int = 2, **more: Any) -> list[Proxy]:
-    return [Proxy(servers, seed=me + 1, siblings=proxies, me=me, classes=CLASSES, report_columns=COLUMNS,
-                  **more) for me in range(proxies)]
+    return [
+        Proxy(servers, seed=me + 1, siblings=proxies, me=me, classes=CLASSES, report_columns=COLUMNS, **more)
+        for me in range(proxies)
+    ]
 
 
 def tell_lines(proxies: list[Proxy], number: int, free: float, size: float) -> None:
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -49,12 +49,23 @@
     path = folder / "config.json"
     admission = {"by_address": 20, "reserve": 16, "known": ["127.9.0.0/16"], "unidentified": 24}
     path.write_text(json.dumps(configuration(port, ports, admission=admission)), encoding="utf-8")
-    usual = [Caller(number, books, random.Random(number), lambda: port,
-                    address=f"127.{8 + number % 2}.0.{number + 1}") for number in range(4)]
+    usual = [
+        Caller(
+            number, books, random.Random(number), lambda: port, address=f"127.{8 + number % 2}.0.{number + 1}"
+        )
+        for number in range(4)
+    ]
     with (folder / "log").open("wb") as log:
         program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "frostport", "serve", "--config", str(path), stderr=log,
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)))
+            sys.executable,
+            "-m",
+            "frostport",
+            "serve",
+            "--config",
+            str(path),
+            stderr=log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)),
+        )
         try:
             await up(port)
             tasks = [asyncio.create_task(caller.run()) for caller in usual]
@@ -72,7 +83,7 @@
     await cancelled(tasks)
     lines = (folder / "log").read_text(encoding="utf-8").splitlines()
     told = next(line for line in lines if "admission: {" in line)
-    return books, [caller.connects for caller in usual], json.loads(told[told.index("{"):]), open_now
+    return books, [caller.connects for caller in usual], json.loads(told[told.index("{") :]), open_now
 
 
 def test_known_clients_are_served_throughout_a_flood(tmp_path: pathlib.Path) -> None:
--- a/tests/test_gossip_wire.py
+++ b/tests/test_gossip_wire.py
@@ -44,10 +44,12 @@
     st.builds(Ping, names, wholes, names, st.tuples(updates)),
     st.builds(messages.Ack, names, wholes, wholes, st.tuples(updates)),
     st.builds(messages.PingReq, names, wholes, names, texts),
-    st.builds(messages.Nack, names, wholes), st.builds(messages.Gossip, names, st.tuples(updates)),
+    st.builds(messages.Nack, names, wholes),
+    st.builds(messages.Gossip, names, st.tuples(updates)),
     st.builds(messages.Join, names, wholes, infos, st.booleans()),
     st.builds(messages.Welcome, names, wholes, st.tuples(updates)),
-    st.builds(messages.Refused, names, wholes, texts))
+    st.builds(messages.Refused, names, wholes, texts),
+)
 
 
 @given(said)
@@ -62,8 +64,9 @@
 
 @settings(max_examples=300)
 @given(said, st.data())
-def test_every_cut_and_change_of_a_datagram_is_refused(message: messages.Message,
-                                                       data: st.DataObject) -> None:
+def test_every_cut_and_change_of_a_datagram_is_refused(
+    message: messages.Message, data: st.DataObject
+) -> None:
     whole = SEAL.close(message)
     at = data.draw(st.integers(0, len(whole) - 1))
     changed = bytearray(whole)
@@ -83,8 +86,9 @@
     agent = Swim(name, info, messages.WHOLE_MOST >> 1, [text[1:]], Settings(), random.Random(1))
     now, longest = 0.0, 0
     agent.handle(Started(), now)
-    others = tuple(Update(f"{number:02}" + name[2:], messages.WHOLE_MOST - 1, State.ALIVE, info)
-                   for number in range(12))
+    others = tuple(
+        Update(f"{number:02}" + name[2:], messages.WHOLE_MOST - 1, State.ALIVE, info) for number in range(12)
+    )
     agent.table.apply(others[0], now)
     for update in others:
         agent.rumours.add(update)
@@ -113,7 +117,7 @@
     cutter = Frames()
     try:
         for at in range(0, len(noise), 50):
-            cutter.take(noise[at:at + 50])
+            cutter.take(noise[at : at + 50])
             assert len(cutter.held) <= link.FIRST_MOST + 54
     except BadFrameError:
         pass
@@ -143,9 +147,17 @@
 
 def made(name: str, known: str = "ab") -> tuple[Link, SetClock, Deadlines, list[tuple[str, str, bytes]]]:
     clock, deadlines, heard = SetClock(1000.0), Deadlines(), list[tuple[str, str, bytes]]()
-    agents = Link("coastline", name, 1, clock, deadlines, lambda address, connection: None,
-                  lambda peer: "127.0.0.1:1" if peer in known else "",
-                  lambda *frame: heard.append(frame), random.Random(1))
+    agents = Link(
+        "coastline",
+        name,
+        1,
+        clock,
+        deadlines,
+        lambda address, connection: None,
+        lambda peer: "127.0.0.1:1" if peer in known else "",
+        lambda *frame: heard.append(frame),
+        random.Random(1),
+    )
     return agents, clock, deadlines, heard
 
 
@@ -156,8 +168,14 @@
     return connection, wire
 
 
-@pytest.mark.parametrize("first", [
-    link.First(1, "another", "b", 1), link.First(2, "coastline", "b", 1), link.First(1, "coastline", "c", 1)])
+@pytest.mark.parametrize(
+    "first",
+    [
+        link.First(1, "another", "b", 1),
+        link.First(2, "coastline", "b", 1),
+        link.First(1, "coastline", "c", 1),
+    ],
+)
 def test_a_strangers_connection_is_closed(first: link.First) -> None:
     agents, _, _, heard = made("a")
     connection, wire = opened(agents)
@@ -195,22 +213,37 @@
 
 # The configuration
 
-FLEET: dict[str, Any] = {"name": "coastline", "key": "00" * 16, "gossip": "127.0.0.1:7001",
-                         "link": "127.0.0.1:7101", "path": "x.fleet", "voters": ["n0"]}
+FLEET: dict[str, Any] = {
+    "name": "coastline",
+    "key": "00" * 16,
+    "gossip": "127.0.0.1:7001",
+    "link": "127.0.0.1:7101",
+    "path": "x.fleet",
+    "voters": ["n0"],
+}
 SCHEMA = json.loads((ROOT / "deploy" / "config.schema.json").read_text(encoding="utf-8"))
 
 
-@pytest.mark.parametrize(("change", "words"), [
-    ({"key": "xyz"}, "fleet.key: not hexadecimal"), ({"key": "00"}, "fleet.key: not 16 to 64 bytes"),
-    ({"voters": ["a", "b"]}, "fleet.voters: not 1, 3, 5 or 7"), ({"voters": ["a", "a", "b"]}, "fleet.voters"),
-    ({"gossip": "nowhere"}, "fleet.gossip: not host:port"),
-    ({"seeds": ["x"]}, "fleet.seeds.0: not host:port"),
-    ({"link": None}, "fleet.link: not host:port"), ({"colour": 1}, "fleet.colour: unknown field"),
-    ({"zone": "z" * 30}, "fleet.zone: over 21 bytes"), ({"routes": {"x": "y"}}, "fleet.routes"),
-    ({"work": {"all": "x"}}, "fleet.work.all: not of type int"),
-    ({"work": {"some": 1}}, "fleet.work.some: unknown field"),
-    ({"work": {"margin": -1}}, "fleet.work.margin: out of range"),
-    ({"compact_after": 5}, "fleet.compact_after: under 100"), ({"path": ""}, "fleet.path: no name")])
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"key": "xyz"}, "fleet.key: not hexadecimal"),
+        ({"key": "00"}, "fleet.key: not 16 to 64 bytes"),
+        ({"voters": ["a", "b"]}, "fleet.voters: not 1, 3, 5 or 7"),
+        ({"voters": ["a", "a", "b"]}, "fleet.voters"),
+        ({"gossip": "nowhere"}, "fleet.gossip: not host:port"),
+        ({"seeds": ["x"]}, "fleet.seeds.0: not host:port"),
+        ({"link": None}, "fleet.link: not host:port"),
+        ({"colour": 1}, "fleet.colour: unknown field"),
+        ({"zone": "z" * 30}, "fleet.zone: over 21 bytes"),
+        ({"routes": {"x": "y"}}, "fleet.routes"),
+        ({"work": {"all": "x"}}, "fleet.work.all: not of type int"),
+        ({"work": {"some": 1}}, "fleet.work.some: unknown field"),
+        ({"work": {"margin": -1}}, "fleet.work.margin: out of range"),
+        ({"compact_after": 5}, "fleet.compact_after: under 100"),
+        ({"path": ""}, "fleet.path: no name"),
+    ],
+)
 def test_a_bad_field_is_named(change: dict[str, Any], words: str) -> None:
     record = {**configuration(1, []), "fleet": {**FLEET, **change}}
     with pytest.raises(ConfigError, match=words):
@@ -234,11 +267,13 @@
 
 
 def test_absent_nothing_of_it_is_imported() -> None:
-    code = ("import sys, frostport.agent, frostport.cli\n"
-            "print([name for name in sys.modules if name.startswith(('frostport.fleet', 'structlog', "
-            "'frostport.membership', 'frostport.agreement', 'frostport.maintenance', "
-            "'frostport.work', 'frostport.net.link', 'frostport.net.gossip', "
-            "'frostport.config_fleet', 'frostport.observe.record', 'frostport.startup', "
-            "'frostport.starting', 'frostport.config_startup', 'frostport.replication'))])")
+    code = (
+        "import sys, frostport.agent, frostport.cli\n"
+        "print([name for name in sys.modules if name.startswith(('frostport.fleet', 'structlog', "
+        "'frostport.membership', 'frostport.agreement', 'frostport.maintenance', "
+        "'frostport.work', 'frostport.net.link', 'frostport.net.gossip', "
+        "'frostport.config_fleet', 'frostport.observe.record', 'frostport.startup', "
+        "'frostport.starting', 'frostport.config_startup', 'frostport.replication'))])"
+    )
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -38,9 +38,11 @@
     records.Open("s0", 1.0, 0.0, 1, "race", "-", "c", 0),
     records.Open("s1", 2.0, 0.0, 1, "race", "-", "c", 0),
     records.Standing("s0", 1.0, "race", "-", "c", 0, 7, True, b"x"),
-    records.Standing("s1", 3.0, "race", "-", "c", 0, 7, True, b"y"), OVER,
+    records.Standing("s1", 3.0, "race", "-", "c", 0, 7, True, b"y"),
+    OVER,
     records.Over("failed", "s1", 2.0, 0.0, "c", 0, -1, 0.0, b""),
-    records.Over("gone", "s0", 0.5, 9.0, "c", 0, -1, 0.0, b"")]
+    records.Over("gone", "s0", 0.5, 9.0, "c", 0, -1, 0.0, b""),
+]
 BUDGETS: list[records.Record] = [records.Bucket(tokens, at) for tokens in (0.0, 3.0) for at in (1.0, 2.0)]
 LISTS: list[records.Record] = [records.Bus(5, 1, 1.0), records.Bus(4, 2, 9.0), records.Bus(5, 1, 2.0)]
 
@@ -65,8 +67,12 @@
     follower = Follower(folder)
     seen: dict[str, bytes] = {}
     for _ in range(400):
-        engine.append([(f"k{chance.randrange(12)}", None if chance.random() < 0.3 else chance.randbytes(30))
-                       for _ in range(chance.randint(1, 4))])
+        engine.append(
+            [
+                (f"k{chance.randrange(12)}", None if chance.random() < 0.3 else chance.randbytes(30))
+                for _ in range(chance.randint(1, 4))
+            ]
+        )
         if chance.random() < 0.5:
             engine.sync()
         engine.tidy()
@@ -101,7 +107,8 @@
         written: dict[str, records.Record] = {
             "open": records.Open("h0", at, 0.0, 1, "race", "-", "c1", 0),
             "stands": records.Standing("h0", at, "race", "-", "c1", 0, zlib.crc32(b"x"), True, b"table"),
-            "over": records.Over("gone", "h0", at, 0.0, "c1", 0, -1, 0.0, b"")}
+            "over": records.Over("gone", "h0", at, 0.0, "c1", 0, -1, 0.0, b""),
+        }
         match line.split():
             case ["send", "old", "ends"]:
                 self.old.close()
@@ -137,7 +144,8 @@
         expect c1 nothing
         send old stands a
         wait 100
-    """ + REPEATED,
+    """
+    + REPEATED,
     "and the old process has given the call up": """
         send old open a
         send s0 FINISH a rc=16
@@ -184,12 +192,21 @@
     assert world.agent.durability is not None
     world.agent.durability.stop()
     found = tools.contents(tmp_path / "s.store")
-    assert not any(isinstance(records.decode(key, value)[2], records.Standing)
-                   for key, value in found.values.items())
+    assert not any(
+        isinstance(records.decode(key, value)[2], records.Standing) for key, value in found.values.items()
+    )
 
 
-STEPS = ("old, before the new one is ready", "new, before it is ready", "old, both serving",
-         "new, both serving", "old, draining", "new, while the old one drains", "new, taking over", "nobody")
+STEPS = (
+    "old, before the new one is ready",
+    "new, before it is ready",
+    "old, both serving",
+    "new, both serving",
+    "old, draining",
+    "new, while the old one drains",
+    "new, taking over",
+    "nobody",
+)
 
 
 class Stage:
@@ -199,19 +216,28 @@
         self.folder, self.held = folder, held
         self.path = folder / "config.json"
         self.port = held.getsockname()[1]
-        self.path.write_text(json.dumps(configuration(self.port, ports, store=STORE)),
-                             encoding="utf-8")
+        self.path.write_text(json.dumps(configuration(self.port, ports, store=STORE)), encoding="utf-8")
         self.log = (folder / "log").open("wb")
         self.programs: list[asyncio.subprocess.Process] = []
         self.doors: list[int] = []
 
     async def start(self) -> asyncio.subprocess.Process:
         self.doors += free_ports(1)
-        environment = {**os.environ, "PROXY_CONFIG": str(self.path), "PROXY_LISTEN_FD": "5",
-                       "PROXY_OPERATOR": f"127.0.0.1:{self.doors[-1]}"}
+        environment = {
+            **os.environ,
+            "PROXY_CONFIG": str(self.path),
+            "PROXY_LISTEN_FD": "5",
+            "PROXY_OPERATOR": f"127.0.0.1:{self.doors[-1]}",
+        }
         program = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", AT_5, str(self.held.fileno()), env=environment, stderr=self.log,
-            pass_fds=(self.held.fileno(),))
+            sys.executable,
+            "-c",
+            AT_5,
+            str(self.held.fileno()),
+            env=environment,
+            stderr=self.log,
+            pass_fds=(self.held.fileno(),),
+        )
         self.programs.append(program)
         return program
 
@@ -247,8 +273,9 @@
         held.bind(("127.0.0.1", 0))
         held.listen(64)
         stage = Stage(folder, ports, held)
-        callers = [Caller(number, books, random.Random(100 + number), lambda: stage.port)
-                   for number in range(4)]
+        callers = [
+            Caller(number, books, random.Random(100 + number), lambda: stage.port) for number in range(4)
+        ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         try:
             old = await stage.start()
@@ -313,7 +340,10 @@
     assert "Traceback" not in log and "stopped:" not in log, log[-2000:]
     found = tools.contents(tmp_path / "s.store")
     assert found.torn == 0
-    standing = [key for key, value in found.values.items()
-                if isinstance(records.decode(key, value)[2], records.Standing)]
+    standing = [
+        key
+        for key, value in found.values.items()
+        if isinstance(records.decode(key, value)[2], records.Standing)
+    ]
     assert standing == []
     assert not (DiskFolder(tmp_path / "s.store" / "next").names() - {"lock"})
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -24,24 +24,66 @@
 
 # The rooms, from the ground up: a room imports rooms of lower floors only, and none beside it.
 FLOORS = {
-    "interface": 1, "settings": 1, "version": 1, "decide": 2, "adapter": 2, "core": 2,
-    "admission": 3, "state": 3,
-    "membership": 3, "agreement": 3, "maintenance": 3, "replication": 3, "startup": 3, "store": 3,
-    "observe": 3, "net": 4,
-    "diameter": 4, "config": 5, "config_fleet": 5, "config_startup": 5,
-    "starting": 6, "side_diameter": 6, "agent": 6, "durability": 6, "sides": 6,
-    "operations": 6, "handover": 6, "fleet": 6, "pump": 6, "work": 6,
-    "cli": 7,    "__main__": 8}
+    "interface": 1,
+    "settings": 1,
+    "version": 1,
+    "decide": 2,
+    "adapter": 2,
+    "core": 2,
+    "admission": 3,
+    "state": 3,
+    "membership": 3,
+    "agreement": 3,
+    "maintenance": 3,
+    "replication": 3,
+    "startup": 3,
+    "store": 3,
+    "observe": 3,
+    "net": 4,
+    "diameter": 4,
+    "config": 5,
+    "config_fleet": 5,
+    "config_startup": 5,
+    "starting": 6,
+    "side_diameter": 6,
+    "agent": 6,
+    "durability": 6,
+    "sides": 6,
+    "operations": 6,
+    "handover": 6,
+    "fleet": 6,
+    "pump": 6,
+    "work": 6,
+    "cli": 7,
+    "__main__": 8,
+}
 NAMED = {
-    ("settings", "interface"), ("adapter", "settings"), ("adapter", "decide"),  # the simulator's wire
+    ("settings", "interface"),
+    ("adapter", "settings"),
+    ("adapter", "decide"),  # the simulator's wire
     ("store", "core"),  # the clock and the deadlines of the committer
-    ("agent", "durability"), ("agent", "sides"), ("agent", "operations"),  # composition
-    ("durability", "handover"), ("agent", "fleet"), ("agent", "pump"), ("fleet", "pump"), ("fleet", "work"),
-    ("config", "config_startup"), ("config_startup", "config"), ("agent", "starting"), ("starting", "fleet"),
-    ("config", "config_fleet"), ("config_fleet", "config"),  # a part of it, read only where there is one
-    ("durability", "sides"), ("durability", "side_diameter"), ("agent", "side_diameter"),
-    ("side_diameter", "sides"), ("handover", "durability"), ("work", "fleet"),  # for their types alone
-    ("cli", "cli")}
+    ("agent", "durability"),
+    ("agent", "sides"),
+    ("agent", "operations"),  # composition
+    ("durability", "handover"),
+    ("agent", "fleet"),
+    ("agent", "pump"),
+    ("fleet", "pump"),
+    ("fleet", "work"),
+    ("config", "config_startup"),
+    ("config_startup", "config"),
+    ("agent", "starting"),
+    ("starting", "fleet"),
+    ("config", "config_fleet"),
+    ("config_fleet", "config"),  # a part of it, read only where there is one
+    ("durability", "sides"),
+    ("durability", "side_diameter"),
+    ("agent", "side_diameter"),
+    ("side_diameter", "sides"),
+    ("handover", "durability"),
+    ("work", "fleet"),  # for their types alone
+    ("cli", "cli"),
+}
 LIBRARIES = {
     "core": ("twisted", "socket", "orjson", "sqlite3", "msgspec"),
     "state": ("twisted", "socket", "os", "pathlib", "sqlite3"),
@@ -52,7 +94,8 @@
     "maintenance": ("twisted", "socket", "os", "pathlib", "time", "frostport.core.clock"),
     "replication": ("twisted", "socket", "os", "pathlib", "time", "frostport.core.clock"),
     "startup": ("twisted", "socket", "os", "pathlib", "time", "frostport.core.clock"),
-    "admission": ("twisted", "socket", "os", "pathlib", "orjson")}
+    "admission": ("twisted", "socket", "os", "pathlib", "orjson"),
+}
 FILES = sorted((ROOT / "frostport").rglob("*.py"))
 
 
@@ -90,9 +133,23 @@
     assert parts - named == simulator
 
 
-REFUSED = {"subprocess", "multiprocessing", "concurrent.futures.process", "os.fork", "os.forkpty",
-           "os.system", "os.popen", "os.posix_spawn", "os.execv", "os.sendfile", "os.splice", "pty",
-           "socket.AF_UNIX", "socket.socketpair", "ctypes"}
+REFUSED = {
+    "subprocess",
+    "multiprocessing",
+    "concurrent.futures.process",
+    "os.fork",
+    "os.forkpty",
+    "os.system",
+    "os.popen",
+    "os.posix_spawn",
+    "os.execv",
+    "os.sendfile",
+    "os.splice",
+    "pty",
+    "socket.AF_UNIX",
+    "socket.socketpair",
+    "ctypes",
+}
 
 
 def refused_in(path: pathlib.Path) -> set[str]:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -25,8 +25,11 @@
     tree = ast.parse(MODULE)
     imported = {name.name for node in ast.walk(tree) if isinstance(node, ast.Import) for name in node.names}
     assert imported == {"math", "random", "struct"}
-    called = {node.func.id for node in ast.walk(tree)
-              if isinstance(node, ast.Call) and isinstance(node.func, ast.Name)}
+    called = {
+        node.func.id
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
+    }
     assert called.isdisjoint({"hash", "id", "open", "print", "input", "frozenset"})
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -120,24 +120,34 @@
     pass
 
 
-@pytest.mark.parametrize("name", [
-    "a call stands and comes to its end", "a broken connection resets its set-ups and leaves what stands",
-    "a process that died: refused, so what stood there is over",
-    "a refused connect sends the call on at once",
-    "a malformed line costs its connection, and no other",
-    "a malformed set-up with a readable id is refused; the third costs the connection",
-    "an answer that can't be read ends its connection and all that is open on it"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "a call stands and comes to its end",
+        "a broken connection resets its set-ups and leaves what stands",
+        "a process that died: refused, so what stood there is over",
+        "a refused connect sends the call on at once",
+        "a malformed line costs its connection, and no other",
+        "a malformed set-up with a readable id is refused; the third costs the connection",
+        "an answer that can't be read ends its connection and all that is open on it",
+    ],
+)
 def test_platform_over_sockets(name: str) -> None:
     record = {key: value for key, value in platform().items() if key != "peer_listen"}
     play(test_platform.SCENARIOS[name], record, PlatformLoopback)
 
 
-@pytest.mark.parametrize("name", [
-    "a watchdog lost in flight: draining, no resend while the attempt is out",
-    "a watchdog answered late: the peer is trusted again, and not cold",
-    "a peer back cold: its sessions are over, it passes REOPEN", "a late answer after a give-up",
-    "a peer that says goodbye gets nothing new; its set-up goes on",
-    "a duplicate gets the same answer, and is no second call"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "a watchdog lost in flight: draining, no resend while the attempt is out",
+        "a watchdog answered late: the peer is trusted again, and not cold",
+        "a peer back cold: its sessions are over, it passes REOPEN",
+        "a late answer after a give-up",
+        "a peer that says goodbye gets nothing new; its set-up goes on",
+        "a duplicate gets the same answer, and is no second call",
+    ],
+)
 def test_diameter_over_sockets(name: str) -> None:
     wanted = diameter.config(**{"retry-after": True, "max-retry-after-ms": 2000.0})
     world = play(test_diameter.SCENARIOS[name], wanted, DiameterLoopback)
@@ -166,7 +176,9 @@
             server, _ = lobby.accept()
             server.settimeout(60)
             client = socket.create_connection(listen, timeout=60)
-            client.sendall(b'{"verb":"START","tag":"00000000000000aa","opts":{"class":"race","left":8000},"blob":"x"}\n')
+            client.sendall(
+                b'{"verb":"START","tag":"00000000000000aa","opts":{"class":"race","left":8000},"blob":"x"}\n'
+            )
             assert b'"verb":"START"' in server.makefile("rb").readline()
             program.send_signal(signal.SIGHUP)
             program.send_signal(signal.SIGTERM)
@@ -199,17 +211,28 @@
                 doors.append(free.getsockname()[1])
         try:
             for door in doors:
-                environment = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"),
-                               "PROXY_LISTEN_FD": "5", "PROXY_OPERATOR": f"127.0.0.1:{door}"}
-                programs.append(subprocess.Popen([sys.executable, "-c", AT_5, str(held.fileno())],
-                                                 env=environment, pass_fds=(held.fileno(),)))
+                environment = {
+                    **os.environ,
+                    "PROXY_CONFIG": str(tmp_path / "config.json"),
+                    "PROXY_LISTEN_FD": "5",
+                    "PROXY_OPERATOR": f"127.0.0.1:{door}",
+                }
+                programs.append(
+                    subprocess.Popen(
+                        [sys.executable, "-c", AT_5, str(held.fileno())],
+                        env=environment,
+                        pass_fds=(held.fileno(),),
+                    )
+                )
                 assert ask(door, b"ready") == b"OK yes\n"
             lobby.settimeout(60)
             servers: list[socket.socket] = []
             for number in range(6):  # the kernel hands each connection to one of the two
                 client = socket.create_connection(listen, timeout=60)
-                client.sendall(b'{"verb":"START","tag":"%016x","opts":{"class":"race","left":8000},"blob":"x"}\n'
-                               % (number + 1))
+                client.sendall(
+                    b'{"verb":"START","tag":"%016x","opts":{"class":"race","left":8000},"blob":"x"}\n'
+                    % (number + 1)
+                )
                 if not servers:
                     servers.append(lobby.accept()[0])
                 client.close()
@@ -223,8 +246,10 @@
                 program.wait()
 
 
-AT_5 = ("import os, sys; os.dup2(int(sys.argv[1]), 5); "
-        "os.execv(sys.executable, [sys.executable, '-m', 'frostport'])")  # the socket as descriptor 5
+AT_5 = (
+    "import os, sys; os.dup2(int(sys.argv[1]), 5); "
+    "os.execv(sys.executable, [sys.executable, '-m', 'frostport'])"
+)  # the socket as descriptor 5
 
 
 def ask(door: int, line: bytes) -> bytes:
