--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -62,8 +62,11 @@
         away = any(each.name == other.name and each.state in AWAY for each in plan.tickets)
         broken = other.kind == AGENT and not other.up and not other.gone
         if other.kind == SERVER:
-            speak = [agent for agent in plan.machines.values()
-                     if agent.kind == AGENT and agent.up and not agent.gone and agent.calls >= 0]
+            speak = [
+                agent
+                for agent in plan.machines.values()
+                if agent.kind == AGENT and agent.up and not agent.gone and agent.calls >= 0
+            ]
             cut = [agent for agent in speak if other.name in agent.unreached]
             broken = not other.up or (bool(speak) and 2 * len(cut) >= len(speak))
         if away or broken:
@@ -74,12 +77,21 @@
         return False
     if any(each.state is State.OUT and plan.now - each.since > each.takes_ms for each in plan.tickets):
         return False
-    stays = [other for other in plan.machines.values()
-             if other.kind == me.kind and other is not me and other not in out and not other.gone]
-    load = sum(agent.calls for agent in plan.machines.values()
-               if agent.kind == AGENT and not agent.gone and agent.calls > 0)
-    carries = at.agent_calls * len(stays) if me.kind == AGENT else at.share_calls * sum(
-        other.share for other in stays)
+    stays = [
+        other
+        for other in plan.machines.values()
+        if other.kind == me.kind and other is not me and other not in out and not other.gone
+    ]
+    load = sum(
+        agent.calls
+        for agent in plan.machines.values()
+        if agent.kind == AGENT and not agent.gone and agent.calls > 0
+    )
+    carries = (
+        at.agent_calls * len(stays)
+        if me.kind == AGENT
+        else at.share_calls * sum(other.share for other in stays)
+    )
     return bool(stays) and not plan.held and (carries == 0 or carries >= load * (1 + at.margin))
 
 
@@ -87,8 +99,11 @@
     """Applies a word; each ticket that goes by it might, one after the other, by the plain model."""
     waiting = {ticket.number for ticket in plan.tickets if ticket.state is State.WAITING}
     plan.apply(index, term, word)
-    went = [ticket for ticket in plan.tickets if ticket.step == index and ticket.number in waiting
-            and ticket.state is not State.WAITING]
+    went = [
+        ticket
+        for ticket in plan.tickets
+        if ticket.step == index and ticket.number in waiting and ticket.state is not State.WAITING
+    ]
     went += [ticket for ticket in plan.tickets if ticket.step == index and ticket.request == index]
     before = Plan()
     before.restore(plan.save())
@@ -102,25 +117,54 @@
             assert allowed(before, ticket.name), f"{ticket.name} might not go: {before.against(ticket)}"
     for ticket in plan.tickets:
         assert ticket.state in ENDED or plan.why(ticket)
-        assert ticket.state is not State.WAITING or plan.limits.overtakes < 1 \
+        assert (
+            ticket.state is not State.WAITING
+            or plan.limits.overtakes < 1
             or ticket.passed <= plan.limits.overtakes
+        )
 
 
 names = st.sampled_from(["a0", "a1", "a2", "h0", "h1"])
 words = st.one_of(
-    st.builds(Request, st.lists(names, max_size=3).map(tuple), st.sampled_from(["", "", "y", "z"]),
-              st.just("kernel"), st.just("ann"), st.sampled_from([5e3, 5e4]), st.booleans()),
-    st.builds(Ready, names), st.builds(Cancel, names),
+    st.builds(
+        Request,
+        st.lists(names, max_size=3).map(tuple),
+        st.sampled_from(["", "", "y", "z"]),
+        st.just("kernel"),
+        st.just("ann"),
+        st.sampled_from([5e3, 5e4]),
+        st.booleans(),
+    ),
+    st.builds(Ready, names),
+    st.builds(Cancel, names),
     st.builds(Force, names, st.just("ann"), st.just("why")),
     st.builds(Hold, st.booleans(), st.just("ann")),
-    st.builds(lambda name, life, up: Seen(name, ZONES[name], life, up, False, True),
-              st.sampled_from(["a0", "a1", "a2"]), st.integers(1, 2), st.booleans()),
-    st.builds(Load, st.sampled_from(["a0", "a1", "a2"]), st.integers(1, 2), st.sampled_from([0.0, 5.0, 20.0]),
-              st.sampled_from([(), ("h0",), ("h1",)])),
+    st.builds(
+        lambda name, life, up: Seen(name, ZONES[name], life, up, False, True),
+        st.sampled_from(["a0", "a1", "a2"]),
+        st.integers(1, 2),
+        st.booleans(),
+    ),
+    st.builds(
+        Load,
+        st.sampled_from(["a0", "a1", "a2"]),
+        st.integers(1, 2),
+        st.sampled_from([0.0, 5.0, 20.0]),
+        st.sampled_from([(), ("h0",), ("h1",)]),
+    ),
     st.builds(Done, st.sampled_from(["a0", "a1", "a2"]), st.integers(1, 2), names, st.integers(1, 40)),
     st.builds(Tick, st.just(1), st.sampled_from([1e3, 5e3, 9e9])),
-    st.builds(Limits, st.integers(1, 3), st.integers(1, 2), st.integers(1, 2), st.integers(1, 3),
-              st.sampled_from([0.0, 10.0]), st.sampled_from([0.0, 20.0]), overtakes=st.integers(0, 2)))
+    st.builds(
+        Limits,
+        st.integers(1, 3),
+        st.integers(1, 2),
+        st.integers(1, 2),
+        st.integers(1, 3),
+        st.sampled_from([0.0, 10.0]),
+        st.sampled_from([0.0, 20.0]),
+        overtakes=st.integers(0, 2),
+    ),
+)
 
 
 @settings(max_examples=300, deadline=None, derandomize=True)
@@ -173,27 +217,47 @@
 
     def look(self, node: Node) -> None:
         leader = self.leader()
-        members = {name: Member(ZONES[name], other.life,
-                                other.alive and other.phase == "serving" and not other.cut, False, True)
-                   for name, other in self.nodes.items()}
+        members = {
+            name: Member(
+                ZONES[name],
+                other.life,
+                other.alive and other.phase == "serving" and not other.cut,
+                False,
+                True,
+            )
+            for name, other in self.nodes.items()
+        }
         node.keeper._said.clear()
         node.keeper._load_at = -1e9
-        node.keeper._load = Load(node.name, node.life, 1.0, ()) \
-            if node.plan.machines.get(node.name, Machine("", "", "")).calls >= 0 else None
+        node.keeper._load = (
+            Load(node.name, node.life, 1.0, ())
+            if node.plan.machines.get(node.name, Machine("", "", "")).calls >= 0
+            else None
+        )
         again = True
         while again:
             again = False
             read = node.applied >= node.must_read and not node.cut
             node.whole = node.whole or read
-            local = Local(node.name == leader, 1, read, node.phase, not any(node.busy.values()),
-                          1.0, node.busy,
-                          frozenset(), frozenset(), members, SERVERS)
+            local = Local(
+                node.name == leader,
+                1,
+                read,
+                node.phase,
+                not any(node.busy.values()),
+                1.0,
+                node.busy,
+                frozenset(),
+                frozenset(),
+                members,
+                SERVERS,
+            )
             if node.keeper._load is not None:
                 node.keeper._load_at = 0.0
             for action in node.keeper.look(node.plan, local, 0.0):
                 match action:
                     case Say(word):
-                        if not (node.cut or word in self.log[node.applied:] or isinstance(word, Tick)):
+                        if not (node.cut or word in self.log[node.applied :] or isinstance(word, Tick)):
                             self.log.append(word)
                     case Serve():
                         node.phase, again = "serving", True
@@ -316,8 +380,12 @@
             assert saved == node.plan.save(), "W1: plans differ"
             for ticket in node.plan.tickets:
                 # Once staff have said that the work is done, a copy that has not read it yet harms nobody.
-                if ticket.state is State.OUT and not ticket.forced and node.alive \
-                        and Ready(ticket.name) not in self.log[node.applied:]:
+                if (
+                    ticket.state is State.OUT
+                    and not ticket.forced
+                    and node.alive
+                    and Ready(ticket.name) not in self.log[node.applied :]
+                ):
                     self.untouched(ticket)
 
     def untouched(self, ticket: Ticket) -> None:
@@ -328,11 +396,34 @@
                 assert not any(other.busy.values()), f"W4: {other.name} has calls"
 
     def key(self) -> bytes:
-        return pickle.dumps((
-            [(node.life, node.applied, node.alive, node.cut, node.phase, node.busy, node.must_read,
-              sorted(node.keeper.holding), node.keeper.drained_by, node.keeper.serving, node.keeper.began < 0,
-              node.keeper.remembers, node.whole, node.keeper.drained_at)
-             for node in self.nodes.values()], self.log, self.late, self.calls, self.deaths, self.cuts))
+        return pickle.dumps(
+            (
+                [
+                    (
+                        node.life,
+                        node.applied,
+                        node.alive,
+                        node.cut,
+                        node.phase,
+                        node.busy,
+                        node.must_read,
+                        sorted(node.keeper.holding),
+                        node.keeper.drained_by,
+                        node.keeper.serving,
+                        node.keeper.began < 0,
+                        node.keeper.remembers,
+                        node.whole,
+                        node.keeper.drained_at,
+                    )
+                    for node in self.nodes.values()
+                ],
+                self.log,
+                self.late,
+                self.calls,
+                self.deaths,
+                self.cuts,
+            )
+        )
 
 
 def asked(*requests: Request) -> Fleet:
@@ -388,8 +479,9 @@
 def lived(seed: int, steps: int = 250) -> Fleet:
     """A long life drawn from a seed, at its end healed and quiet: every ticket has ended."""
     chance = random.Random(seed)
-    fleet = Fleet(Limits(all=chance.randint(1, 2), servers=1, zone=2, warm_ms=1000.0,
-                         overtakes=chance.randint(1, 3)))
+    fleet = Fleet(
+        Limits(all=chance.randint(1, 2), servers=1, zone=2, warm_ms=1000.0, overtakes=chance.randint(1, 3))
+    )
     for number in range(steps):
         fleet.calls, fleet.deaths, fleet.cuts = 2, 1, 1
         events = list(fleet.events())
@@ -414,8 +506,11 @@
                 fleet.step("ready", ticket.name)
         fleet.log.append(Tick(1, 5000.0))
         fleet.settle()
-    left = [(ticket.name, ticket.state.value, plan.why(ticket)) for ticket in plan.tickets
-            if ticket.state not in ENDED]
+    left = [
+        (ticket.name, ticket.state.value, plan.why(ticket))
+        for ticket in plan.tickets
+        if ticket.state not in ENDED
+    ]
     assert not left, left
     return fleet
 
@@ -427,14 +522,19 @@
 
 def earlier_words_count_nothing() -> None:
     plan = asked(one("h0")).nodes["a0"].plan
-    said: list[Word] = [Listed(tuple(SERVERS.values())), Seen("a0", "z", 2, True, False),
-                        Seen("a1", "z", 5, True, False), one("h0")]
+    said: list[Word] = [
+        Listed(tuple(SERVERS.values())),
+        Seen("a0", "z", 2, True, False),
+        Seen("a1", "z", 5, True, False),
+        one("h0"),
+    ]
     for index, word in enumerate(said, start=100):
         plan.apply(index, 1, word)
     ticket = plan.ticket("h0")
     assert ticket is not None
     for number, (agent, life, step) in enumerate(
-            (("a0", 1, 0), ("a1", 4, 0), ("a0", 2, -1), ("a1", 5, -1)), start=200):
+        (("a0", 1, 0), ("a1", 4, 0), ("a0", 2, -1), ("a1", 5, -1)), start=200
+    ):
         plan.apply(number, 1, Done(agent, life, "h0", ticket.step + step))
         assert not {"a0", "a1"} & ticket.done.keys()
 
@@ -459,8 +559,11 @@
 
 
 def only_tickets(plan: Plan) -> dict[str, Machine]:
-    return {ticket.name: plan.machines[ticket.name] for ticket in plan.tickets
-            if ticket.state in AWAY and ticket.name in plan.machines}
+    return {
+        ticket.name: plan.machines[ticket.name]
+        for ticket in plan.tickets
+        if ticket.state in AWAY and ticket.name in plan.machines
+    }
 
 
 def the_living(plan: Plan, ticket: Ticket) -> list[str]:
@@ -475,9 +578,16 @@
 
 def drained_is_enough(keeper: Keeper, plan: Plan, local: Local, now: float) -> list[object]:
     """An agent that may be touched serves whoever still comes."""
-    return [action for action in LOOK(keeper, plan, replace(
-        local, phase="turning away" if local.phase == "drained" else local.phase), now)
-        if not isinstance(action, TurnAway)]
+    return [
+        action
+        for action in LOOK(
+            keeper,
+            plan,
+            replace(local, phase="turning away" if local.phase == "drained" else local.phase),
+            now,
+        )
+        if not isinstance(action, TurnAway)
+    ]
 
 
 APPLY, WAITS_FOR, LOOK = Plan.apply, Plan.waits_for, Keeper.look
@@ -487,7 +597,8 @@
     "the dead not counted as out": (Plan, "out", only_tickets),
     "the silent taken for dead": (Plan, "waits_for", the_living),
     "calls taken before the log is read": (Keeper, "look", at_once),
-    "an agent out that serves who comes": (Keeper, "look", drained_is_enough)}
+    "an agent out that serves who comes": (Keeper, "look", drained_is_enough),
+}
 
 
 @pytest.mark.parametrize("name", PLANTED)
@@ -519,13 +630,18 @@
     assert said == Request(("a0", "h1"), "", "a new kernel", "ann", 1_800_000.0, True, 28_800_000.0)
     assert asking.word("limits", "all=3 margin=0.5", plan) == Limits(all=3, margin=0.5, warm_ms=1000.0)
     for what, rest, why in (
-            ("request", "takes=30m who=ann why=x", "names= or zone="),
-            ("request", "names=a0 who=ann why=x", "takes="),
-            ("request", "names=a0 takes=half who=ann why=x", "takes:"),
-            ("request", "nonsense", "not one of"), ("ready", "h1", "no ticket"), ("ready", "a1", "not out"),
-            ("cancel", "h0", "work-ready"), ("force", "h0 who=ann why=x", "neither"),
-            ("force", "h0 who=ann", "who= and why="), ("limits", "all=many", "not a number"),
-            ("hold", "", "who=")):
+        ("request", "takes=30m who=ann why=x", "names= or zone="),
+        ("request", "names=a0 who=ann why=x", "takes="),
+        ("request", "names=a0 takes=half who=ann why=x", "takes:"),
+        ("request", "nonsense", "not one of"),
+        ("ready", "h1", "no ticket"),
+        ("ready", "a1", "not out"),
+        ("cancel", "h0", "work-ready"),
+        ("force", "h0 who=ann why=x", "neither"),
+        ("force", "h0 who=ann", "who= and why="),
+        ("limits", "all=many", "not a number"),
+        ("hold", "", "who="),
+    ):
         with pytest.raises(asking.BadWordsError, match=why):
             asking.word(what, rest, plan)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -155,7 +155,8 @@
 def test_the_first_choice_is_taken_while_it_may() -> None:
     proxy = Proxy(3)
     assert [sends(proxy.call(first=n)[1])[0].server for n in (2, 0, 1)] == [
-        server(n).address for n in (2, 0, 1)]
+        server(n).address for n in (2, 0, 1)
+    ]
 
 
 def test_one_full_skips_the_server_for_the_pause_and_the_call_goes_elsewhere() -> None:
@@ -265,10 +266,12 @@
     assert sends(proxy.call()[1])[0].server == server(0).address
 
 
-@pytest.mark.parametrize("stood_since, share, pause", [
-    (True, 0.0, False), (False, 0.0, True), (True, 0.5, True)])
+@pytest.mark.parametrize(
+    "stood_since, share, pause", [(True, 0.0, False), (False, 0.0, True), (True, 0.5, True)]
+)
 def test_one_lost_answer_is_no_strike_where_others_stood_since(
-        stood_since: bool, share: float, pause: bool) -> None:
+    stood_since: bool, share: float, pause: bool
+) -> None:
     proxy = Proxy()
     lost, _ = proxy.call()
     proxy.run(10.0)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -19,8 +19,19 @@
 
 # A small world explored breadth first
 
-QUICK = Settings(interval_ms=100.0, timeout_ms=40.0, helpers=1, alpha=1.0, beta=2.0, confirmations=1,
-                 health_most=1, exchange_ms=1e9, forget_ms=1e9, retry_ms=300.0, join_ms=100.0)
+QUICK = Settings(
+    interval_ms=100.0,
+    timeout_ms=40.0,
+    helpers=1,
+    alpha=1.0,
+    beta=2.0,
+    confirmations=1,
+    health_most=1,
+    exchange_ms=1e9,
+    forget_ms=1e9,
+    retry_ms=300.0,
+    join_ms=100.0,
+)
 NAMES = ("a", "b", "c")
 FLIGHT_MOST = 3
 
@@ -87,25 +98,44 @@
     yield Small.tick
     for name in NAMES:
         if name in world.agents and world.crashes < 1:
+
             def crash(at: Small, name: str = name) -> None:
                 del at.agents[name]
                 at.crashes += 1
+
             yield crash
         if name not in world.agents:
+
             def restart(at: Small, name: str = name) -> None:
                 at.lives += 1
                 at.begin(name, at.lives)
+
             yield restart
 
 
 def key(world: Small) -> bytes:
     """The state, with times as from now and without counters that only name things."""
-    shown = [(name, agent.phase.value, agent.incarnation, agent.health,
-              None if agent.probe is None else (agent.probe.name, agent.probe.answered, agent.probe.asked),
-              sorted((member.name, member.incarnation, int(member.state),
-                      round(member.changed_at - world.now), sorted(member.suspected_by))
-                     for member in agent.table), round(agent.next_ms() - world.now))
-             for name, agent in sorted(world.agents.items())]
+    shown = [
+        (
+            name,
+            agent.phase.value,
+            agent.incarnation,
+            agent.health,
+            None if agent.probe is None else (agent.probe.name, agent.probe.answered, agent.probe.asked),
+            sorted(
+                (
+                    member.name,
+                    member.incarnation,
+                    int(member.state),
+                    round(member.changed_at - world.now),
+                    sorted(member.suspected_by),
+                )
+                for member in agent.table
+            ),
+            round(agent.next_ms() - world.now),
+        )
+        for name, agent in sorted(world.agents.items())
+    ]
     return hashlib.sha256(repr((shown, world.crashes, world.flight)).encode()).digest()
 
 
@@ -120,8 +150,11 @@
                 world = pickle.loads(data)
                 before = {name: agent.incarnation for name, agent in world.agents.items()}
                 lives = {name: agent.info.life for name, agent in world.agents.items()}
-                views = {(name, member.name): (member.incarnation, member.state)
-                         for name, agent in world.agents.items() for member in agent.table}
+                views = {
+                    (name, member.name): (member.incarnation, member.state)
+                    for name, agent in world.agents.items()
+                    for member in agent.table
+                }
                 choice(world)
                 if (at := key(world)) in seen:
                     continue
@@ -134,8 +167,11 @@
                         was = views.get((name, member.name), (0, State.ALIVE))
                         assert lives.get(name) != agent.info.life or (member.incarnation, member.state) >= was
                         there = world.agents.get(member.name)
-                        assert there is None or member.info.life != there.info.life \
-                            or member.incarnation <= there.incarnation  # M2
+                        assert (
+                            there is None
+                            or member.info.life != there.info.life
+                            or member.incarnation <= there.incarnation
+                        )  # M2
                 following.append(pickle.dumps(world))
                 if count >= most:
                     break
@@ -175,10 +211,13 @@
     return True
 
 
-@pytest.mark.parametrize(("owner", "name", "fault"), [
-    (Swim, "_speak_up", not_raised), (Swim, "_about_me", never_refuted), (table, "counts", any_word)])
-def test_planted_faults_are_caught(owner: object, name: str, fault: object,
-                                   monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    ("owner", "name", "fault"),
+    [(Swim, "_speak_up", not_raised), (Swim, "_about_me", never_refuted), (table, "counts", any_word)],
+)
+def test_planted_faults_are_caught(
+    owner: object, name: str, fault: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(owner, name, fault)
     with pytest.raises(AssertionError):
         explored(suspecting(), 6, 4_000, 80)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -36,7 +36,8 @@
         door ready => OK yes
         expect agent phase serving
     """,
-    "a drain closes idle connections at once, a busy one after its last answer": SET_UP + """
+    "a drain closes idle connections at once, a busy one after its last answer": SET_UP
+    + """
         send c2 ECHO 1 rc=0
         expect c2 ECHOED 1 rc=1
         door drain => OK draining
@@ -56,7 +57,8 @@
         wait 100
         expect agent phase drained
     """,
-    "a set-up on a draining connection that carries calls is refused; it closes after them": SET_UP + """
+    "a set-up on a draining connection that carries calls is refused; it closes after them": SET_UP
+    + """
         door drain => OK draining
         send c1 START b class=race left=3000 extras=dest:1
         expect c1 FINISH b rc=42
@@ -81,8 +83,8 @@
         expect c2 FINISHED b
         expect c2 closed
     """,
-
-    "a drain keeps a connection while a call stands on it: its release is told there": SET_UP + """
+    "a drain keeps a connection while a call stands on it: its release is told there": SET_UP
+    + """
         send s0 STARTED a blob=answer
         expect c1 STARTED a
         send c2 ECHO 1 rc=0
@@ -99,7 +101,8 @@
         wait 100
         expect agent phase drained
     """,
-    "a call released by its client on another connection lets its own close": SET_UP + """
+    "a call released by its client on another connection lets its own close": SET_UP
+    + """
         send s0 STARTED a blob=answer
         expect c1 STARTED a
         door drain => OK draining
@@ -146,7 +149,8 @@
         door PUT drain => OK draining
         door GET ready => ERR no: drained
     """,
-    "SIGTERM during a drain ends the program": SET_UP + """
+    "SIGTERM during a drain ends the program": SET_UP
+    + """
         door drain => OK draining
         send agent term
         expect agent phase closing
@@ -177,7 +181,8 @@
 
 
 HANDOVER = {
-    "on SIGTERM the old process stops accepting at once, serves what it holds, and ends": SET_UP + """
+    "on SIGTERM the old process stops accepting at once, serves what it holds, and ends": SET_UP
+    + """
         send c2 ECHO 1 rc=0
         expect c2 ECHOED 1 rc=1
         send agent term
@@ -224,8 +229,10 @@
 
 def door() -> tuple[Door, SetClock, Deadlines]:
     clock, deadlines = SetClock(0.0), Deadlines()
-    calls: dict[str, Operation] = {"ready": lambda rest: ["OK yes"],
-                                   "disable-server": lambda rest: [f"OK {operator.argument(rest)}"]}
+    calls: dict[str, Operation] = {
+        "ready": lambda rest: ["OK yes"],
+        "disable-server": lambda rest: [f"OK {operator.argument(rest)}"],
+    }
     return Door(calls, clock, deadlines), clock, deadlines
 
 
@@ -274,16 +281,19 @@
     assert not any(caller.closed for caller in held)
 
 
-@pytest.mark.parametrize(("line", "said"), [
-    (b"disable-server h3", b"OK h3\n"),
-    (b'PUT disable-server {"id": "h3"}', b"OK h3\n"),
-    (b'disable-server {"id": ""}', b"ERR no id\n"),
-    (b"disable-server {broken", b"ERR not JSON\n"),
-    (b"disable-server", b"ERR no id\n"),
-    (b"disable-server h3 h4", b"ERR one id, not 2\n"),
-    (b"\xff\xfe", b"ERR not ASCII\n"),
-    (b"show-everything", b"ERR unknown call 'show-everything'; calls: disable-server ready\n"),
-])
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        (b"disable-server h3", b"OK h3\n"),
+        (b'PUT disable-server {"id": "h3"}', b"OK h3\n"),
+        (b'disable-server {"id": ""}', b"ERR no id\n"),
+        (b"disable-server {broken", b"ERR not JSON\n"),
+        (b"disable-server", b"ERR no id\n"),
+        (b"disable-server h3 h4", b"ERR one id, not 2\n"),
+        (b"\xff\xfe", b"ERR not ASCII\n"),
+        (b"show-everything", b"ERR unknown call 'show-everything'; calls: disable-server ready\n"),
+    ],
+)
 def test_calls_and_their_errors(line: bytes, said: bytes) -> None:
     made, _, _ = door()
     caller = Caller(made)
@@ -312,8 +322,9 @@
     assert config.inherited_listener({}) is None
 
 
-def test_serve_exits_2_on_a_closed_inherited_descriptor(tmp_path: pathlib.Path, monkeypatch: Any,
-                                                        capsys: Any) -> None:
+def test_serve_exits_2_on_a_closed_inherited_descriptor(
+    tmp_path: pathlib.Path, monkeypatch: Any, capsys: Any
+) -> None:
     (tmp_path / "config.json").write_text(__import__("json").dumps(with_door()), encoding="utf-8")
     closed = os.dup(0)
     os.close(closed)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,16 +10,21 @@
 from frostport.sides import PlatformSide
 from tests.scenario import START_MS, Nobody, Wire, event, host, platform, play
 
-REFUSED_AND_OVER = r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":102}\n' \
-                   r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n'
+REFUSED_AND_OVER = (
+    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":102}\n'
+    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n'
+)
 SET_UP = """
     send c1 START a class=race left=3000 key=07 extras=dest:0;width:1;via:-1 blob=sdp
     expect s0 START a class=race left=3000 key=07 blob=sdp
 """
-STANDS = SET_UP + """
+STANDS = (
+    SET_UP
+    + """
     send s0 STARTED a blob=answer
     expect c1 STARTED a blob=answer
 """
+)
 SCENARIOS = {
     "an answer lost with its connection and told again, when the call stands elsewhere: released": """
         send c1 START a class=race left=8000 extras=dest:0
@@ -35,7 +40,8 @@
         expect s0 FINISH a rc=16
         expect s1 nothing
     """,
-    "a call stands and comes to its end": STANDS + """
+    "a call stands and comes to its end": STANDS
+    + """
         wait 800
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
@@ -43,24 +49,28 @@
         expect c1 nothing
         expect s0 nothing
     """,
-    "a call that is cut": STANDS + """
+    "a call that is cut": STANDS
+    + """
         send s0 FINISH a rc=41
         expect c1 FINISH a rc=41
     """,
-    "a client ends its call on another connection": STANDS + """
+    "a client ends its call on another connection": STANDS
+    + """
         send c2 FINISH a rc=16
         expect c2 FINISHED a
         expect s0 FINISH a rc=16
         send s0 FINISHED a
         expect c1 nothing
     """,
-    "a full server: the other is tried at once": SET_UP + """
+    "a full server: the other is tried at once": SET_UP
+    + """
         send s0 FINISH a rc=34 note=swamped load=x0:3;x1:9;qps:5
         expect s1 START a
         send s1 STARTED a blob=other
         expect c1 STARTED a blob=other
     """,
-    "moot and faulty attempts go on too": SET_UP + """
+    "moot and faulty attempts go on too": SET_UP
+    + """
         send s0 FINISH a rc=102
         expect s0 START a
         send s0 FINISH a rc=47
@@ -72,7 +82,8 @@
         send s1 FINISH a rc=47
         expect c1 FINISH a rc=41
     """,
-    "a reset awaits the release": SET_UP + """
+    "a reset awaits the release": SET_UP
+    + """
         send s0 FINISH a rc=41
         wait 499
         expect s0 nothing
@@ -80,7 +91,8 @@
         wait 60
         expect s0 START a blob=sdp
     """,
-    "time runs out: one answer at once, and the set-up is given up": SET_UP + """
+    "time runs out: one answer at once, and the set-up is given up": SET_UP
+    + """
         wait 2999
         expect c1 nothing
         wait 2
@@ -92,13 +104,15 @@
         expect s0 closed
         expect s0 nothing
     """,
-    "a give-up reaches the server": SET_UP + """
+    "a give-up reaches the server": SET_UP
+    + """
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         expect c1 FINISHED a
         expect c1 nothing
     """,
-    "an answer that crosses a give-up is released": SET_UP + """
+    "an answer that crosses a give-up is released": SET_UP
+    + """
         send c1 FINISH a rc=16
         send s0 STARTED a blob=late
         expect s0 FINISH a rc=16
@@ -106,17 +120,20 @@
         expect c1 FINISHED a
         expect c1 nothing
     """,
-    "a give-up that crosses the answer releases the call": STANDS + """
+    "a give-up that crosses the answer releases the call": STANDS
+    + """
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         expect c1 nothing
     """,
-    "open set-ups go with their connection": SET_UP + """
+    "open set-ups go with their connection": SET_UP
+    + """
         close c1
         expect s0 FINISH a rc=16
         expect agent open 0
     """,
-    "a set-up that comes again on a new connection awaits its release": SET_UP + """
+    "a set-up that comes again on a new connection awaits its release": SET_UP
+    + """
         close c1
         expect s0 FINISH a rc=16
         send c1 START a class=race left=2900 extras=dest:0
@@ -128,21 +145,24 @@
         send s0 STARTED a blob=now
         expect c1 STARTED a blob=now
     """,
-    "a release goes to another connection when the call's own is gone": STANDS + """
+    "a release goes to another connection when the call's own is gone": STANDS
+    + """
         send c2 ECHO 1 rc=0
         expect c2 ECHOED 1 rc=1
         close c1
         send s0 FINISH a rc=16
         expect c2 FINISH a rc=16
     """,
-    "a release owed with no connection open goes to the next": STANDS + """
+    "a release owed with no connection open goes to the next": STANDS
+    + """
         close c1
         send s0 FINISH a rc=16
         wait 5000
         send c2 ECHO 1 rc=0
         expect c2 FINISH a rc=16
     """,
-    "a release not heard before its connection broke is sent again; one heard is not": STANDS + """
+    "a release not heard before its connection broke is sent again; one heard is not": STANDS
+    + """
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
         close c1
@@ -154,7 +174,8 @@
         expect c1 ECHOED 1
         expect c1 nothing
     """,
-    "a server repeats its release on the next connection": STANDS + """
+    "a server repeats its release on the next connection": STANDS
+    + """
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
         close s0
@@ -164,7 +185,8 @@
         expect s0 FINISHED a
         expect c1 nothing
     """,
-    "a broken connection resets its set-ups and leaves what stands": STANDS + """
+    "a broken connection resets its set-ups and leaves what stands": STANDS
+    + """
         send c1 START b class=race left=3000 extras=dest:0
         expect s0 START b
         close s0
@@ -184,7 +206,8 @@
         wait 60
         expect s0 START a
     """,
-    "a process that died: refused, so what stood there is over": STANDS + """
+    "a process that died: refused, so what stood there is over": STANDS
+    + """
         wait 600
         close s0 dead
         wait 99
@@ -192,7 +215,8 @@
         wait 2
         expect c1 FINISH a rc=41
     """,
-    "a process that died, one connection left open: it does not answer, so it is over": STANDS + """
+    "a process that died, one connection left open: it does not answer, so it is over": STANDS
+    + """
         send c1 START b class=race left=3000 extras=dest:0
         expect s0 START b
         send c1 START c class=race left=3000 extras=dest:0
@@ -213,7 +237,8 @@
         send c1 START a class=race left=3000 extras=dest:0
         expect s1 START a
     """,
-    "a connect that hangs counts as refused after its time, and cuts nothing": STANDS + """
+    "a connect that hangs counts as refused after its time, and cuts nothing": STANDS
+    + """
         close s0
         close s0 silent
         wait 1
@@ -221,7 +246,8 @@
         wait 501
         expect c1 nothing
     """,
-    "a client's release with the server away goes out on the next connection": STANDS + """
+    "a client's release with the server away goes out on the next connection": STANDS
+    + """
         close s0 silent
         send s0 alive
         send c1 FINISH a rc=16
@@ -246,7 +272,8 @@
         expect c1 ECHOED 1 rc=1
         expect c1 ECHOED 2 rc=1
     """,
-    "a malformed line costs its connection, and no other": SET_UP + """
+    "a malformed line costs its connection, and no other": SET_UP
+    + """
         send c2 ECHO 1 rc=0
         expect c2 ECHOED 1
         send c2 raw nonsense\\n{"verb":"ECHO","tag":"0000000000000002"}\\n
@@ -270,12 +297,15 @@
         send c1 raw {"verb":"START","tag":"00000000000000
         send c1 raw 0f","opts":{"class":"race","left":1},"x":"
         expect c1 nothing
-        send c1 raw """ + "y" * 17000 + """
+        send c1 raw """
+    + "y" * 17000
+    + """
         expect c1 FINISH f rc=42
         expect c1 closed
         expect s0 nothing
     """,
-    "an id that is open already, with another description: refused, the first goes on": SET_UP + """
+    "an id that is open already, with another description: refused, the first goes on": SET_UP
+    + """
         send c2 START a class=race left=3000 extras=dest:0 blob=other
         expect c2 FINISH a rc=42
         expect c2 closed
@@ -283,7 +313,8 @@
         send s0 STARTED a blob=answer
         expect c1 STARTED a blob=answer
     """,
-    "two set-ups under one id on one connection: failed once, given up, closed": SET_UP + """
+    "two set-ups under one id on one connection: failed once, given up, closed": SET_UP
+    + """
         send c1 START a class=race left=3000 extras=dest:0 blob=other
         expect c1 FINISH a rc=41
         expect c1 closed
@@ -319,14 +350,16 @@
         wait 2
         expect c1 closed
     """,
-    "a client that asked once may stay for good": STANDS + """
+    "a client that asked once may stay for good": STANDS
+    + """
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
         send c1 FINISHED a
         wait 60000
         expect c1 nothing
     """,
-    "a release that no client confirms is told to another, at growing gaps, for a while": STANDS + """
+    "a release that no client confirms is told to another, at growing gaps, for a while": STANDS
+    + """
         send c2 START b class=race left=3000 extras=dest:1
         expect s1 START b
         send s1 STARTED b blob=answer
@@ -344,7 +377,8 @@
         expect c1 nothing
         expect c2 nothing
     """,
-    "a release is not told to those who never asked": STANDS + """
+    "a release is not told to those who never asked": STANDS
+    + """
         close c1
         send c2 raw {
         send s0 FINISH a rc=16
@@ -353,7 +387,8 @@
         expect c2 FINISH a rc=16
         expect c2 ECHOED 1
     """,
-    "an answer that can't be read ends its connection and all that is open on it": SET_UP + """
+    "an answer that can't be read ends its connection and all that is open on it": SET_UP
+    + """
         send c2 START b class=race left=3000 extras=dest:0
         expect s0 START b
         send s0 raw junk\\n
@@ -364,7 +399,8 @@
         wait 60
         expect s0 START a
     """,
-    "an answer that stops short ends its connection": SET_UP + """
+    "an answer that stops short ends its connection": SET_UP
+    + """
         send s0 raw {"verb":"STARTED","tag":"000000000000
         wait 299
         expect s0 nothing
@@ -373,13 +409,17 @@
         wait 560
         expect s0 START a
     """,
-    "an answer without end ends its connection": SET_UP + """
-        send s0 raw {"verb":"STARTED","tag":"000000000000000a","blob":" """ + "y" * 17000 + """
+    "an answer without end ends its connection": SET_UP
+    + """
+        send s0 raw {"verb":"STARTED","tag":"000000000000000a","blob":" """
+    + "y" * 17000
+    + """
         expect s0 closed
         wait 560
         expect s0 START a
     """,
-    "a connection that falls silent while another brings reports is ended": SET_UP + """
+    "a connection that falls silent while another brings reports is ended": SET_UP
+    + """
         send c2 START b class=race left=3000 extras=dest:0
         expect s0 START b
         send s0 STARTED b blob=x
@@ -401,7 +441,8 @@
         wait 560
         expect s0 START a
     """,
-    "with probes, one that lags is tested: one that answers stays, one that does not goes": SET_UP + """
+    "with probes, one that lags is tested: one that answers stays, one that does not goes": SET_UP
+    + """
         send c2 START b class=race left=3000 extras=dest:0
         expect s0 START b
         send s0 STARTED b blob=x
@@ -435,7 +476,8 @@
         wait 2
         expect s0 closed
     """,
-    "a connection on which nothing comes while a set-up waits is ended with it": SET_UP + """
+    "a connection on which nothing comes while a set-up waits is ended with it": SET_UP
+    + """
         send c2 START b class=race left=4000 extras=dest:0
         expect s0 START b
         wait 3001
@@ -445,7 +487,8 @@
         wait 560
         expect s0 START b
     """,
-    "a call that ends before its answer came has failed, and is not sent again": SET_UP + """
+    "a call that ends before its answer came has failed, and is not sent again": SET_UP
+    + """
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=41
         expect s0 FINISHED a
@@ -456,7 +499,8 @@
         expect s1 nothing
         expect c1 nothing
     """,
-    "a late answer to an earlier attempt does not end the one that is out at the same server": SET_UP + """
+    "a late answer to an earlier attempt does not end the one that is out at the same server": SET_UP
+    + """
         send c1 START b class=race left=3000 extras=dest:0
         send c1 START c class=race left=3000 extras=dest:0
         expect s0 START b
@@ -466,14 +510,18 @@
         send s0 STARTED a blob=late on=b
         expect s0 nothing
     """,
-    "an end read with a refusal is none of the attempt that follows on the same connection": SET_UP + """
-        send s0 raw """ + REFUSED_AND_OVER + """
+    "an end read with a refusal is none of the attempt that follows on the same connection": SET_UP
+    + """
+        send s0 raw """
+    + REFUSED_AND_OVER
+    + """
         expect s0 START a
         send s0 STARTED a blob=answer
         expect c1 STARTED a
         expect c1 nothing
     """,
-    "a second copy of an answer, and one under an unknown id, change nothing": SET_UP + """
+    "a second copy of an answer, and one under an unknown id, change nothing": SET_UP
+    + """
         send s0 STARTED e blob=noise
         expect s0 FINISH e rc=16
         send s0 STARTED a blob=answer
@@ -484,8 +532,11 @@
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
     """,
-    "a second copy of a fault, read with the first, is not the next attempt's": SET_UP + """
-        send s0 raw """ + 2 * r'{"verb":"FINISH","tag":"000000000000000a","rc":102}\n' + """
+    "a second copy of a fault, read with the first, is not the next attempt's": SET_UP
+    + """
+        send s0 raw """
+    + 2 * r'{"verb":"FINISH","tag":"000000000000000a","rc":102}\n'
+    + """
         expect s0 START a
         expect s0 nothing
         send s0 STARTED a blob=answer
@@ -516,7 +567,8 @@
         wait 200
         expect bus from 1
     """,
-    "nothing goes to a draining server, and its calls live on": STANDS + f"""
+    "nothing goes to a draining server, and its calls live on": STANDS
+    + f"""
         expect bus from 1
         send bus {event(2, host(0, "draining"))}
         send c1 START b class=race left=3000 extras=dest:0
@@ -524,7 +576,8 @@
         send s0 FINISH a rc=41
         expect c1 FINISH a rc=41
     """,
-    "a server that is gone takes its calls and set-ups with it": STANDS + f"""
+    "a server that is gone takes its calls and set-ups with it": STANDS
+    + f"""
         send c1 START b class=race left=3000 extras=dest:0
         expect s0 START b
         send bus {event(2, host(0, "gone"))}
@@ -533,18 +586,21 @@
         wait 560
         expect s1 START b
     """,
-    "a whole list without a server removes it": STANDS + f"""
+    "a whole list without a server removes it": STANDS
+    + f"""
         send bus {event(2, host(1), whole=True)}
         expect c1 FINISH a rc=41
         expect s0 closed
     """,
-    "a restarted process: what stood before is over, the old connection dropped": STANDS + f"""
+    "a restarted process: what stood before is over, the old connection dropped": STANDS
+    + f"""
         wait 1000
         send bus {event(2, host(0, born=START_MS + 500))}
         expect c1 FINISH a rc=41
         expect s0 closed
     """,
-    "a new server at the address of a gone one": STANDS + f"""
+    "a new server at the address of a gone one": STANDS
+    + f"""
         send bus {event(2, host(0, "gone"), host(2, dial=0, name="h9"))}
         expect c1 FINISH a rc=41
         expect s0 closed
@@ -561,7 +617,8 @@
         expect s1 START a
         expect s0 nothing
     """,
-    "a server that takes no more connections is not dialed for each set-up": SET_UP + """
+    "a server that takes no more connections is not dialed for each set-up": SET_UP
+    + """
         send c1 START b class=race left=3000 extras=dest:0
         expect s0 START b
         close s0 full
@@ -587,7 +644,8 @@
         expect bus closed
         expect bus from 1
     """,
-    "sighup: another event bus, the numbers going on, the old connection left, no call dropped": SET_UP + f"""
+    "sighup: another event bus, the numbers going on, the old connection left, no call dropped": SET_UP
+    + f"""
         expect bus from 1
         send bus {event(2, host(1, "draining"))}
         send agent hup bus="10.0.1.2:1"
@@ -601,7 +659,8 @@
         expect c1 FINISH a rc=42
         expect bus nothing
     """,
-    "sighup: one bad field, and nothing changes": SET_UP + """
+    "sighup: one bad field, and nothing changes": SET_UP
+    + """
         send agent hup missing
         send agent hup {"bus":
         send agent hup bus=7
@@ -615,7 +674,8 @@
         expect bus from 1
         expect bus nothing
     """,
-    "sighup while going down changes nothing": SET_UP + """
+    "sighup while going down changes nothing": SET_UP
+    + """
         expect bus from 1
         send agent term
         send agent hup bus="10.0.1.2:1"
@@ -627,7 +687,8 @@
         wait 60
         expect agent exit
     """,
-    "sigterm: serves on, answers all, exits": SET_UP + """
+    "sigterm: serves on, answers all, exits": SET_UP
+    + """
         send agent term
         expect agent phase closing
         send c2 ECHO 1 rc=0
@@ -663,9 +724,11 @@
 
 
 # A test of a server is a probe (the protocol page): these need a site that allows them.
-PROBED = {"with probes, one that lags is tested: one that answers stays, one that does not goes",
-          "a process that died, one connection left open: it does not answer, so it is over",
-          "a server that takes no more connections is not dialed for each set-up"}
+PROBED = {
+    "with probes, one that lags is tested: one that answers stays, one that does not goes",
+    "a process that died, one connection left open: it does not answer, so it is over",
+    "a server that takes no more connections is not dialed for each set-up",
+}
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
@@ -679,14 +742,22 @@
         play(SCENARIOS[name], platform(probes=False))
 
 
-@pytest.mark.parametrize("change, said", [
-    ('bus=7', "reload: configuration kept: bus: not host:port: 7"),
-    ('settings={"services":[]}', "reload: configuration kept: settings.services: no class of call"),
-    ('known={"offset":1,"batch":[{"topology":7}]}', "reload: configuration kept: known.batch.0.topology: "),
-    ('listen="10.0.9.2:1"', "reload: not changed before the next start: listen"),
-    ('bus="10.0.1.2:1"', "reload: done; changed: bus")])
+@pytest.mark.parametrize(
+    "change, said",
+    [
+        ("bus=7", "reload: configuration kept: bus: not host:port: 7"),
+        ('settings={"services":[]}', "reload: configuration kept: settings.services: no class of call"),
+        (
+            'known={"offset":1,"batch":[{"topology":7}]}',
+            "reload: configuration kept: known.batch.0.topology: ",
+        ),
+        ('listen="10.0.9.2:1"', "reload: not changed before the next start: listen"),
+        ('bus="10.0.1.2:1"', "reload: done; changed: bus"),
+    ],
+)
 def test_a_reload_says_in_one_line_what_it_did(
-        change: str, said: str, caplog: pytest.LogCaptureFixture) -> None:
+    change: str, said: str, caplog: pytest.LogCaptureFixture
+) -> None:
     caplog.set_level("INFO")
     play(f"send agent hup {change}", platform())
     assert sum(message.startswith(said) for message in caplog.messages) == 1
@@ -719,8 +790,12 @@
         world.wait(1.0)
     front = agent.side.front
     assert isinstance(front, PlatformFront) and len(front.connections) == agent.gate.limits.connections
-    for line in ("send c2 ECHO 1 rc=0", "expect c2 ECHOED 1", "send s0 STARTED a blob=x",
-                 "expect c1 STARTED a"):
+    for line in (
+        "send c2 ECHO 1 rc=0",
+        "expect c2 ECHOED 1",
+        "send s0 STARTED a blob=x",
+        "expect c1 STARTED a",
+    ):
         world.step(line)
 
 
@@ -739,9 +814,14 @@
     for number in range(2, 60):
         old, new = host(number % 2, "gone", name=f"h{number - 2}"), host(number % 2, name=f"h{number}")
         call, dest = f"{number:x}", number % 2
-        for line in (f"send c1 START {call} class=race left=3000 key={call} extras=dest:{dest}",
-                     f"send s{dest} STARTED {call} blob=x", f"send c1 START f{call} class=race left=3000",
-                     "close c1", f"send bus {event(number, old, new)}", "wait 100"):
+        for line in (
+            f"send c1 START {call} class=race left=3000 key={call} extras=dest:{dest}",
+            f"send s{dest} STARTED {call} blob=x",
+            f"send c1 START f{call} class=race left=3000",
+            "close c1",
+            f"send bus {event(number, old, new)}",
+            "wait 100",
+        ):
             world.step(line)
         for name in ("s0", "s1"):
             world.actors[name].inbox.clear()
@@ -757,14 +837,18 @@
     assert not agent.broker.by_id and not len(agent.broker.requests) and len(agent.broker.ended_ids) == 1
     assert not side.front.owed and len(side.front.connections) == 1
     assert len(side.servers.connections) == sum(
-        len(lobby.connections) for lobby in side.servers.members.values())
+        len(lobby.connections) for lobby in side.servers.members.values()
+    )
     assert len(agent.deadlines) < 20
 
 
 def test_probes_are_answered_late_or_never() -> None:
-    world = play("""
+    world = play(
+        """
         wait 1200
-    """, platform(probes=True))
+    """,
+        platform(probes=True),
+    )
     asked = [heard for name in ("s0", "s1") for heard in world.actors[name].inbox]
     assert asked and all(heard[""] == "ECHO" and heard["rc"] == "1" for heard in asked)
 
@@ -779,6 +863,10 @@
         return real(given, now)  # type: ignore[arg-type, return-value]
 
     world.agent.broker.module.handle = handle  # type: ignore[method-assign, assignment]
-    for line in ("send c1 START a class=race left=3000", "expect c1 FINISH a rc=41",
-                 "send c1 START b class=race left=3000 extras=dest:0", "expect s0 START b"):
+    for line in (
+        "send c1 START a class=race left=3000",
+        "expect c1 FINISH a rc=41",
+        "send c1 START b class=race left=3000 extras=dest:0",
+        "expect s0 START b",
+    ):
         world.step(line)
--- a/tests/test_quiet_list.py
+++ b/tests/test_quiet_list.py
@@ -32,8 +32,11 @@
 
 @pytest.mark.parametrize("kind", [NoBus, HangingBus])
 def test_an_agent_is_ready_at_once_without_the_list_service_and_hears_it_when_it_is_back(
-        kind: type[World]) -> None:
-    run(kind(platform()), f"""
+    kind: type[World],
+) -> None:
+    run(
+        kind(platform()),
+        f"""
         expect agent phase serving
         send c1 START a class=race left=3000 extras=dest:0
         expect s0 START a
@@ -56,11 +59,14 @@
         send c1 START b class=race left=3000 extras=dest:0
         expect s1 START b
         expect s0 nothing
-    """)
+    """,
+    )
 
 
 def test_a_move_of_the_bus_while_a_dial_hangs_leaves_that_dial() -> None:
-    world = run(HangingBus(platform()), """
+    world = run(
+        HangingBus(platform()),
+        """
         wait 500
         send agent hup bus="10.0.1.2:1"
         expect bus2 from 1
@@ -71,12 +77,15 @@
         send bus2 1
         wait 200
         expect bus nothing
-    """)
+    """,
+    )
     assert sum(world.agent.gate.descriptors.open.values()) == 4  # two servers, the bus, the peers' port
 
 
 def test_a_list_service_that_answers_after_4_s_is_heard_on_the_connection_that_asked_first() -> None:
-    world = run(World(platform()), f"""
+    world = run(
+        World(platform()),
+        f"""
         expect bus from 1
         wait 2400
         expect bus nothing
@@ -93,7 +102,8 @@
         send bus 2
         wait 2000
         expect bus nothing
-    """)
+    """,
+    )
     assert world.agent.gate.descriptors.open[Owner.BUS] == 1
 
 
--- a/tests/test_real_ends.py
+++ b/tests/test_real_ends.py
@@ -104,7 +104,8 @@
     at.write_text(json.dumps(record), encoding="utf-8")
     with (folder / "log").open("wb") as log:
         program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "frostport", "serve", "--config", str(at), stderr=log)
+            sys.executable, "-m", "frostport", "serve", "--config", str(at), stderr=log
+        )
         try:
             await up(port)
             await play(server, port, program)
@@ -208,9 +209,13 @@
         asked.put_nowait((await reader.readline(), writer))
 
     other = Server()
-    hosts = [{"host": f"h{number}", "dial": f"127.0.0.1:{at}", "block": number, "health": health}
-             for number, at, health in ((0, server.listener.sockets[0].getsockname()[1], "draining"),
-                                        (1, await other.start(), "ready"))]
+    hosts = [
+        {"host": f"h{number}", "dial": f"127.0.0.1:{at}", "block": number, "health": health}
+        for number, at, health in (
+            (0, server.listener.sockets[0].getsockname()[1], "draining"),
+            (1, await other.start(), "ready"),
+        )
+    ]
     bus = await asyncio.start_server(told, "127.0.0.1", server.bus)
     line, silent = await asyncio.wait_for(asked.get(), PATIENCE_S)
     assert line == b"from 1\n"
@@ -241,9 +246,12 @@
 
 
 PLAYS: dict[str, tuple[Play, float]] = {
-    "closed in the guard": (closed_in_the_guard, 4000.0), "many in one write": (many_in_one_write, 4000.0),
-    "told to end twice": (told_to_end, 1000.0), "closed behind a dial": (closed_behind_a_dial, 4000.0),
-    "quiet in a full table": (quiet_in_a_full_table, 4000.0)}
+    "closed in the guard": (closed_in_the_guard, 4000.0),
+    "many in one write": (many_in_one_write, 4000.0),
+    "told to end twice": (told_to_end, 1000.0),
+    "closed behind a dial": (closed_behind_a_dial, 4000.0),
+    "quiet in a full table": (quiet_in_a_full_table, 4000.0),
+}
 
 
 @pytest.mark.parametrize("name", PLAYS)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,10 +18,13 @@
     send c1 START a class=race left=8000 extras=dest:0 blob=x
     expect s0 START a
 """
-STANDS = OUT + """
+STANDS = (
+    OUT
+    + """
     send s0 STARTED a blob=table
     expect c1 STARTED a blob=table
 """
+)
 AGAIN = """
     send agent kill
     expect c1 closed
@@ -31,39 +34,52 @@
 ASKED = "send c1 START a class=race left=8000 extras=dest:0 blob=x\n"
 REPEATED_AND_GIVEN_UP = (
     r'{"verb":"START","tag":"000000000000000a","opts":{"class":"race","left":"8000"},"blob":"x"}\n'
-    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n')
-UNHEARD = OUT + """
+    r'{"verb":"FINISH","tag":"000000000000000a","opts":{},"rc":16}\n'
+)
+UNHEARD = (
+    OUT
+    + """
     send disk hold
     send s0 STARTED a blob=table
     send disk write
     expect c1 nothing
-""" + AGAIN
+"""
+    + AGAIN
+)
 D_ASKED = "send c1 CCR-I a dest=s0 wait=8000 key=500 T=1\n"
-D_UNHEARD = """
+D_UNHEARD = (
+    """
     send c1 CCR-I a dest=s0 wait=8000 key=500
     expect s0 CCR-I a
     send disk hold
     send s0 CCA a result=2001 key=table-7
     send disk write
     expect c1 nothing
-""" + AGAIN
+"""
+    + AGAIN
+)
 # One final word to a client that may not have heard the answer: server's end, client's repeat and release,
 # the agent's restart and its disk in every order.
 ONE_WORD = {
-    "the end, then the repeat: the answer, then the release": UNHEARD + """
+    "the end, then the repeat: the answer, then the release": UNHEARD
+    + """
         send c1 ECHO b
         expect c1 ECHOED b
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         expect c1 nothing
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 STARTED a blob=table
         expect c1 FINISH a rc=16
         send c1 FINISHED a
         wait 12000
         expect c1 nothing
     """,
-    "the repeat, then the end": UNHEARD + ASKED + """
+    "the repeat, then the end": UNHEARD
+    + ASKED
+    + """
         expect c1 STARTED a blob=table
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
@@ -71,7 +87,8 @@
         wait 12000
         expect c1 nothing
     """,
-    "the end, another restart, then the repeat": UNHEARD + """
+    "the end, another restart, then the repeat": UNHEARD
+    + """
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         send agent kill
@@ -80,16 +97,21 @@
         send c1 ECHO b
         expect c1 ECHOED b
         expect c1 nothing
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 STARTED a blob=table
         expect c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         expect s0 nothing
     """,
-    "the end waits for its record while the repeat comes": UNHEARD + """
+    "the end waits for its record while the repeat comes": UNHEARD
+    + """
         send disk hold
         send s0 FINISH a rc=16
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 STARTED a blob=table
         expect c1 nothing
         send disk free
@@ -97,22 +119,29 @@
         expect s0 FINISHED a
         expect s0 nothing
     """,
-    "the end held back to its limit, then told, then the repeat: no answer after the release": UNHEARD + """
+    "the end held back to its limit, then told, then the repeat: no answer after the release": UNHEARD
+    + """
         send c1 ECHO b
         expect c1 ECHOED b
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         wait 10000
         expect c1 FINISH a rc=16
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 FINISH a rc=16
         send c1 FINISHED a
         expect c1 nothing
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 FINISH a rc=41
         expect s0 nothing
     """,
-    "the client's release before the end: neither is told": UNHEARD + ASKED + """
+    "the client's release before the end: neither is told": UNHEARD
+    + ASKED
+    + """
         expect c1 STARTED a
         send c1 FINISH a rc=16
         expect c1 FINISHED a
@@ -122,7 +151,8 @@
         wait 12000
         expect c1 nothing
     """,
-    "the end, then the client's release without a repeat": UNHEARD + """
+    "the end, then the client's release without a repeat": UNHEARD
+    + """
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         send c1 FINISH a rc=16
@@ -131,19 +161,23 @@
         expect c1 nothing
         expect s0 nothing
     """,
-    "another client's connection hears nothing of it meanwhile": UNHEARD + """
+    "another client's connection hears nothing of it meanwhile": UNHEARD
+    + """
         send c2 ECHO b
         expect c2 ECHOED b
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         wait 9000
         expect c2 nothing
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 STARTED a
         expect c1 FINISH a rc=16
         expect c2 nothing
     """,
-    "another set-up under the id of a call whose end is held": UNHEARD + """
+    "another set-up under the id of a call whose end is held": UNHEARD
+    + """
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         send c1 START a class=race left=8000 blob=y
@@ -151,58 +185,75 @@
         expect c1 closed
         expect s0 nothing
     """,
-    "no restart, the connection broken: the end is told at once, and is the last word": STANDS + """
+    "no restart, the connection broken: the end is told at once, and is the last word": STANDS
+    + """
         close c1
         send s0 FINISH a rc=16
         expect s0 FINISHED a
         send c1 ECHO b
         expect c1 FINISH a rc=16
         expect c1 ECHOED b
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 FINISH a rc=16
         expect c1 nothing
         expect s0 nothing
     """,
-    "no restart, the connection broken, the repeat before the end": STANDS + "close c1\n" + ASKED + """
+    "no restart, the connection broken, the repeat before the end": STANDS
+    + "close c1\n"
+    + ASKED
+    + """
         expect c1 STARTED a blob=table
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
         expect s0 FINISHED a
     """,
-    "the same set-up twice on one connection is answered once": UNHEARD + ASKED + """
+    "the same set-up twice on one connection is answered once": UNHEARD
+    + ASKED
+    + """
         expect c1 STARTED a
-        """ + ASKED + """
+        """
+    + ASKED
+    + """
         expect c1 closed
         expect agent standing 1
     """,
 }
 D_ONE_WORD = {
-    "the end, then the repeat: the answer, then the abort": D_UNHEARD + """
+    "the end, then the repeat: the answer, then the abort": D_UNHEARD
+    + """
         send c1 bare
         send c1 CER
         expect c1 CEA result=2001
         send s0 ASR a cause=1
         expect s0 ASA a
         expect c1 nothing
-        """ + D_ASKED + """
+        """
+    + D_ASKED
+    + """
         expect c1 CCA-I a result=2001 key=table-7
         expect c1 ASR a cause=1
         send c1 ASA a result=2001
         expect s0 nothing
     """,
-    "the end, another restart, then the repeat": D_UNHEARD + """
+    "the end, another restart, then the repeat": D_UNHEARD
+    + """
         send s0 ASR a cause=1
         expect s0 ASA a
         send agent kill
         expect s0 closed
         send agent start
-        """ + D_ASKED + """
+        """
+    + D_ASKED
+    + """
         expect c1 CCA-I a result=2001 key=table-7
         expect c1 ASR a cause=1
         expect s0 CCR-T a
         expect s0 nothing
     """,
-    "the end held back to its limit, then told, then the repeat: it has failed": D_UNHEARD + """
+    "the end held back to its limit, then told, then the repeat: it has failed": D_UNHEARD
+    + """
         send c1 bare
         send c1 CER
         expect c1 CEA result=2001
@@ -210,7 +261,9 @@
         expect s0 ASA a
         wait 10000
         expect c1 ASR a cause=1
-        """ + D_ASKED + """
+        """
+    + D_ASKED
+    + """
         expect c1 CCA-I a result=5012
         expect s0 nothing
     """,
@@ -226,13 +279,17 @@
         send c1 CER
         expect c1 CEA result=2001
         expect c1 ASR a cause=1
-        """ + D_ASKED + """
+        """
+    + D_ASKED
+    + """
         expect c1 CCA-I a result=5012
         expect s0 nothing
     """,
 }
 PLATFORM = {
-    "a call stands on; its client ends it at its server, and at no other": STANDS + AGAIN + """
+    "a call stands on; its client ends it at its server, and at no other": STANDS
+    + AGAIN
+    + """
         expect agent standing 1
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
@@ -241,7 +298,9 @@
         expect s1 nothing
         expect agent standing 0
     """,
-    "a call stands on; its server ends it": STANDS + AGAIN + """
+    "a call stands on; its server ends it": STANDS
+    + AGAIN
+    + """
         send c1 ECHO b
         expect c1 ECHOED b
         send s0 FINISH a rc=16
@@ -255,7 +314,9 @@
         expect c1 nothing
         expect agent standing 0
     """,
-    "an attempt out at the crash: released at its server, sent again after the guard alone": OUT + AGAIN + """
+    "an attempt out at the crash: released at its server, sent again after the guard alone": OUT
+    + AGAIN
+    + """
         expect s0 FINISH a rc=16
         send s0 FINISHED a
         send c1 START a class=race left=8000 extras=dest:0 blob=x
@@ -266,12 +327,15 @@
         send s0 STARTED a blob=table
         expect c1 STARTED a
     """,
-    "killed between the record of an answer and the answer: asked again, it is given, set up once": OUT + """
+    "killed between the record of an answer and the answer: asked again, it is given, set up once": OUT
+    + """
         send disk hold
         send s0 STARTED a blob=table
         send disk write
         expect c1 nothing
-    """ + AGAIN + """
+    """
+    + AGAIN
+    + """
         expect agent standing 1
         send c1 START a class=race left=8000 extras=dest:0 blob=x
         expect c1 STARTED a blob=table
@@ -279,28 +343,37 @@
         send c1 FINISH a rc=16
         expect s0 FINISH a
     """,
-    "another set-up under the id of a call that stands is no repetition": STANDS + AGAIN + """
+    "another set-up under the id of a call that stands is no repetition": STANDS
+    + AGAIN
+    + """
         send c1 START a class=race left=8000 blob=y
         expect c1 FINISH a rc=42
         expect c1 closed
         expect s0 nothing
     """,
-    "killed before the record of an answer: the server is told to release the call": OUT + """
+    "killed before the record of an answer: the server is told to release the call": OUT
+    + """
         send disk hold
         send s0 STARTED a blob=table
         expect c1 nothing
-    """ + AGAIN + """
+    """
+    + AGAIN
+    + """
         expect agent standing 0
         expect s0 FINISH a rc=16
     """,
-    "a call that ended just before the crash is released at its server once more": STANDS + """
+    "a call that ended just before the crash is released at its server once more": STANDS
+    + """
         send c1 FINISH a rc=16
         expect s0 FINISH a
-    """ + AGAIN + """
+    """
+    + AGAIN
+    + """
         expect s0 FINISH a rc=16
         expect agent standing 0
     """,
-    "a release owed to a client outlives the crash": STANDS + """
+    "a release owed to a client outlives the crash": STANDS
+    + """
         close c1
         send s0 FINISH a rc=16
         expect s0 FINISHED a
@@ -319,7 +392,8 @@
         expect c1 ECHOED b
         expect c1 nothing
     """,
-    "a release owed to a server outlives the crash": STANDS + """
+    "a release owed to a server outlives the crash": STANDS
+    + """
         close s0 silent
         wait 100
         close s0 full
@@ -347,7 +421,8 @@
         expect s0 closed
         expect s0 nothing
     """,
-    "a server replaced while the agent was down: what stood there is over": STANDS + """
+    "a server replaced while the agent was down: what stood there is over": STANDS
+    + """
         send agent kill
         expect c1 closed
         close s0 dead
@@ -360,7 +435,8 @@
         expect c1 FINISH a rc=41
         expect agent standing 0
     """,
-    "a give-up while the answer waits for its record: no answer after it": OUT + """
+    "a give-up while the answer waits for its record: no answer after it": OUT
+    + """
         send disk hold
         send s0 STARTED a blob=table
         send c1 FINISH a rc=16
@@ -381,7 +457,8 @@
         wait 9000
         expect s0 nothing
     """,
-    "a client that goes while its answer waits: the call is released": OUT + """
+    "a client that goes while its answer waits: the call is released": OUT
+    + """
         send disk hold
         send s0 STARTED a blob=table
         close c1
@@ -389,12 +466,17 @@
         expect s0 FINISH a
         expect agent standing 0
     """,
-    "a repeated set-up and its give-up in one write: what stands is released": STANDS + AGAIN + """
-        send c1 raw """ + REPEATED_AND_GIVEN_UP + """
+    "a repeated set-up and its give-up in one write: what stands is released": STANDS
+    + AGAIN
+    + """
+        send c1 raw """
+    + REPEATED_AND_GIVEN_UP
+    + """
         expect c1 STARTED a
         expect s0 FINISH a rc=16
     """,
-    "we close a connection with answers that wait for the disk: they leave before the close": OUT + """
+    "we close a connection with answers that wait for the disk: they leave before the close": OUT
+    + """
         send c1 START b class=race left=8000 extras=dest:1 blob=x
         expect s1 START b
         send disk hold
@@ -427,7 +509,8 @@
         expect s0 nothing
         expect s1 nothing
     """,
-    "SIGTERM with an answer that waits: it leaves before the end": OUT + """
+    "SIGTERM with an answer that waits: it leaves before the end": OUT
+    + """
         send disk hold
         send s0 STARTED a blob=table
         send agent term
@@ -439,7 +522,8 @@
         wait 60
         expect agent exit
     """,
-    "a disk that hangs: what was taken is answered, new calls are refused until it answers": OUT + """
+    "a disk that hangs: what was taken is answered, new calls are refused until it answers": OUT
+    + """
         send disk hold
         send s0 STARTED a blob=table
         wait 999
@@ -454,7 +538,8 @@
         send c1 START c class=race left=8000 extras=dest:0 blob=x
         expect s0 START c
     """,
-    "a full disk: what was taken is served, new calls are refused": OUT + """
+    "a full disk: what was taken is served, new calls are refused": OUT
+    + """
         send disk full
         send s0 STARTED a blob=table
         expect c1 STARTED a
@@ -467,7 +552,8 @@
         wait 1000
         expect agent exit
     """,
-    "a disk that was full and has room again: the store goes on, and knows what happened meanwhile": OUT + """
+    "a disk that was full and has room again: the store goes on, and knows what happened meanwhile": OUT
+    + """
         send c1 START d class=race left=8000 extras=dest:0 blob=d
         expect s0 START d
         send s0 STARTED d blob=table-d
@@ -497,9 +583,12 @@
         send c1 START a class=race left=8000 extras=dest:0 blob=x
         expect c1 STARTED a blob=table
     """,
-    "a clock that has gone back: no guard is cut short, no drain made young": OUT + """
+    "a clock that has gone back: no guard is cut short, no drain made young": OUT
+    + """
         send clock -3600000
-    """ + AGAIN + """
+    """
+    + AGAIN
+    + """
         expect s0 FINISH a
         send c1 START a class=race left=8000 extras=dest:0 blob=x
         wait 499
@@ -507,7 +596,8 @@
         wait 100
         expect s0 START a
     """,
-    "power lost twice: what was answered stands": STANDS + """
+    "power lost twice: what was answered stands": STANDS
+    + """
         send agent power
         send agent start
         send agent power
@@ -540,38 +630,53 @@
 
 
 def test_with_serve_a_failed_store_stops_no_call() -> None:
-    play(OUT + """
+    play(
+        OUT
+        + """
         send disk full
         send s0 STARTED a blob=table
         expect c1 STARTED a
         expect agent store failed
         send c1 START b class=race left=8000 extras=dest:0 blob=x
         expect s0 START b
-    """, {**platform(), "store": {**STORE, "on_failure": "serve"}}, PlatformRestarts)
+    """,
+        {**platform(), "store": {**STORE, "on_failure": "serve"}},
+        PlatformRestarts,
+    )
 
 
 @pytest.mark.parametrize("durability", ["interval", "none"])
 def test_without_always_an_answer_does_not_wait_and_sigkill_loses_nothing_written(durability: str) -> None:
-    play(OUT + """
+    play(
+        OUT
+        + """
         send s0 STARTED a blob=table
         send disk hold
         send s0 FINISH b rc=16
         expect c1 STARTED a
         send disk free
         wait 200
-    """.replace("        send s0 FINISH b rc=16\n", "") + AGAIN + """
+    """.replace("        send s0 FINISH b rc=16\n", "")
+        + AGAIN
+        + """
         expect agent standing 1
-    """, {**platform(), "store": {**STORE, "durability": durability}}, PlatformRestarts)
+    """,
+        {**platform(), "store": {**STORE, "durability": durability}},
+        PlatformRestarts,
+    )
 
 
 D_OUT = """
     send c1 CCR-I a dest=s0 wait=8000 key=500
     expect s0 CCR-I a
 """
-D_STANDS = D_OUT + """
+D_STANDS = (
+    D_OUT
+    + """
     send s0 CCA a result=2001 key=table-7
     expect c1 CCA-I a result=2001 key=table-7
 """
+)
 D_AGAIN = """
     send agent kill
     expect c1 closed
@@ -579,23 +684,29 @@
     send agent start
 """
 DIAMETER = {
-    "a set-up repeated after a restart gets the recorded answer, and is set up once": D_STANDS + D_AGAIN + """
+    "a set-up repeated after a restart gets the recorded answer, and is set up once": D_STANDS
+    + D_AGAIN
+    + """
         send c1 CCR-I a dest=s0 wait=8000 key=500 T=1
         expect c1 CCA-I a result=2001 key=table-7
         expect s0 nothing
     """,
-    "killed between record and answer: the repetition gets it": D_OUT + """
+    "killed between record and answer: the repetition gets it": D_OUT
+    + """
         send disk hold
         send s0 CCA a result=2001 key=table-7
         send disk write
         expect c1 nothing
-    """ + D_AGAIN + """
+    """
+    + D_AGAIN
+    + """
         send c1 CCR-I a dest=s0 wait=8000 key=500 T=1
         expect c1 CCA-I a result=2001 key=table-7
         expect s0 nothing
     """,
-    "a termination after a restart reaches the server that holds the session; repeated, it is known":
-    D_STANDS + D_AGAIN + """
+    "a termination after a restart reaches the server that holds the session; repeated, it is known": D_STANDS
+    + D_AGAIN
+    + """
         send c1 CCR-T a id=77
         expect s0 CCR-T a
         expect s1 closed
@@ -611,7 +722,9 @@
         send c1 CCR-T a id=78
         expect agent answered CCA-T 5002
     """,
-    "a server ends a session after the restart": D_STANDS + D_AGAIN + """
+    "a server ends a session after the restart": D_STANDS
+    + D_AGAIN
+    + """
         send c1 bare
         send c1 CER
         send s0 ASR a cause=1
@@ -622,7 +735,8 @@
         wait 1
         expect c1 ASR a cause=1
     """,
-    "a client that goes while its answer waits: the session is ended": D_OUT + """
+    "a client that goes while its answer waits: the session is ended": D_OUT
+    + """
         send disk hold
         send s0 CCA a result=2001 key=table-7
         close c1
@@ -641,13 +755,16 @@
         expect s1 CCR-I a
         send s1 CCA a result=5012
         expect c1 CCA-I a result=5012
-    """ + D_AGAIN + """
+    """
+    + D_AGAIN
+    + """
         send c1 CCR-I a dest=s0 wait=8000 key=500 T=1
         expect c1 CCA-I a result=5012
         expect s0 nothing
     """,
-    "an attempt out at the crash is ended at its server, and set up again after the guard":
-    D_OUT + D_AGAIN + """
+    "an attempt out at the crash is ended at its server, and set up again after the guard": D_OUT
+    + D_AGAIN
+    + """
         expect s0 CCR-T a
         send s0 CCA-T a result=2001
         send c1 CCR-I a dest=s0 wait=8000 key=500 T=1
@@ -656,7 +773,8 @@
         wait 100
         expect s0 CCR-I a
     """,
-    "a server that has started anew while the agent was down has lost its sessions": D_STANDS + """
+    "a server that has started anew while the agent was down has lost its sessions": D_STANDS
+    + """
         send agent kill
         expect c1 closed
         expect s0 closed
@@ -669,7 +787,8 @@
         expect c1 ASR a cause=4
         expect agent standing 0
     """,
-    "a server that does not come back in time has lost its sessions": D_STANDS + """
+    "a server that does not come back in time has lost its sessions": D_STANDS
+    + """
         send agent kill
         expect c1 closed
         close s0 dead
@@ -713,8 +832,20 @@
 
 def test_a_budget_spent_before_the_crash_stays_spent(tmp_path: pathlib.Path) -> None:
     """Three set-ups within a budget of two a second and a burst of two, with a crash in between."""
-    description = {"asyncapi": "3.0.0", "operations": {"ask": {"x-frostport-contract": {
-        "class": "race", "aim_ms": 1500, "deadline_ms": 9000, "attempts": 4, "set_ups_per_second": 2}}}}
+    description = {
+        "asyncapi": "3.0.0",
+        "operations": {
+            "ask": {
+                "x-frostport-contract": {
+                    "class": "race",
+                    "aim_ms": 1500,
+                    "deadline_ms": 9000,
+                    "attempts": 4,
+                    "set_ups_per_second": 2,
+                }
+            }
+        },
+    }
     (tmp_path / "race.json").write_text(json.dumps(description), encoding="utf-8")
     script = """
         send c1 START a class=race left=8000 tenant=t1 extras=dest:0 blob=x
@@ -745,7 +876,9 @@
         "call/new": records.Standing("s0", now - 5000, "race", "t", "c", 0, 0, True, b""),
         "call/over": records.Over("stands", "s0", now - 61_000, 0.0, "c", 0, -1, 0.0, b""),
         "call/late": records.Over("stands", "s0", now - 1000, now + 100, "c", 0, -1, 0.0, b""),
-        "owed/x": records.Owed("c", "ok", now - 61_000), "budget/t\0race": records.Bucket(1.5, now - 10)}
+        "owed/x": records.Owed("c", "ok", now - 61_000),
+        "budget/t\0race": records.Bucket(1.5, now - 10),
+    }
     values = {key: records.encode(record) for key, record in kept.items()}
     restored = recovery.restore(values, now, 500.0)
     assert set(restored.dropped) == {"call/old", "call/over", "owed/x"}
@@ -758,8 +891,10 @@
 
 
 def test_a_drain_keeps_its_old_time_and_what_is_dropped_leaves_the_store() -> None:
-    world = play("send bus " + json.dumps({"offset": 2, "topology": {
-        "seq": 2, "whole": False, "hosts": [host(0, "draining")]}}) + """
+    world = play(
+        "send bus "
+        + json.dumps({"offset": 2, "topology": {"seq": 2, "whole": False, "hosts": [host(0, "draining")]}})
+        + """
         wait 1500
         send c1 START a class=race left=8000 extras=dest:1 blob=x
         send c1 FINISH a rc=16
@@ -768,7 +903,10 @@
         send clock 200000
         send agent start
         wait 1
-    """, platform(), PlatformRestarts)
+    """,
+        platform(),
+        PlatformRestarts,
+    )
     told = world.agent.rules.servers["h0"]
     assert told.stop_at == START_MS
     assert world.agent.durability is not None
@@ -786,16 +924,37 @@
 
 
 DIALECTS: dict[str, dict[str, str]] = {
-    "platform": {"ask": "START {} class=race left=8000 extras=dest:{} blob=x", "asked": "START",
-                 "stands": "STARTED {} blob=t", "busy": "FINISH {} rc=34", "fault": "FINISH {} rc=47",
-                 "end": "FINISH {} rc=16", "release": "FINISH {} rc=16", "released": "FINISH",
-                 "release heard": "FINISHED {}", "answer": "STARTED", "refusal": "FINISH", "over": "FINISH",
-                 "over heard": "FINISHED {}"},
-    "diameter": {"ask": "CCR-I {} dest=s{} wait=8000 key=500", "asked": "CCR-I",
-                 "stands": "CCA {} result=2001", "busy": "CCA {} result=3004",
-                 "fault": "CCA {} result=5012", "end": "ASR {} cause=1",
-                 "release": "CCR-T {}", "released": "CCR-T", "release heard": "CCA-T {} result=2001",
-                 "answer": "CCA-I", "refusal": "CCA-I", "over": "ASR", "over heard": "ASA {} result=2001"}}
+    "platform": {
+        "ask": "START {} class=race left=8000 extras=dest:{} blob=x",
+        "asked": "START",
+        "stands": "STARTED {} blob=t",
+        "busy": "FINISH {} rc=34",
+        "fault": "FINISH {} rc=47",
+        "end": "FINISH {} rc=16",
+        "release": "FINISH {} rc=16",
+        "released": "FINISH",
+        "release heard": "FINISHED {}",
+        "answer": "STARTED",
+        "refusal": "FINISH",
+        "over": "FINISH",
+        "over heard": "FINISHED {}",
+    },
+    "diameter": {
+        "ask": "CCR-I {} dest=s{} wait=8000 key=500",
+        "asked": "CCR-I",
+        "stands": "CCA {} result=2001",
+        "busy": "CCA {} result=3004",
+        "fault": "CCA {} result=5012",
+        "end": "ASR {} cause=1",
+        "release": "CCR-T {}",
+        "released": "CCR-T",
+        "release heard": "CCA-T {} result=2001",
+        "answer": "CCA-I",
+        "refusal": "CCA-I",
+        "over": "ASR",
+        "over heard": "ASA {} result=2001",
+    },
+}
 
 
 class Life:
@@ -872,8 +1031,9 @@
         chance = self.chance
         held = [(server, call, how) for server, calls in self.held.items() for call, how in calls.items()]
         out = [(server, call) for server, call, how in held if how != "stands"]
-        match chance.choices(("ask", "answer", "release", "end", "kill", "again", "wait", "disk"),
-                             (6, 6, 2, 1, 1, 2, 4, 1))[0]:
+        match chance.choices(
+            ("ask", "answer", "release", "end", "kill", "again", "wait", "disk"), (6, 6, 2, 1, 1, 2, 4, 1)
+        )[0]:
             case "ask":
                 self.count += 1
                 call, client = f"{self.count:x}", chance.choice(("c1", "c2"))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -42,8 +42,17 @@
 VALUES: tuple[bytes | None, ...] = (OPEN, STANDING, OVER, FAILED, None)
 SMALL: list[dict[int, Seen]] = [{}] + [
     {epoch: (number, frozenset({value})) for epoch, number, value in chosen}
-    for chosen in ([(1, 1, OPEN)], [(1, 2, STANDING)], [(1, 2, OVER)], [(1, 3, None)], [(2, 1, FAILED)],
-                   [(2, 1, None)], [(1, 2, STANDING), (2, 1, OVER)], [(1, 1, OPEN), (2, 2, STANDING)])]
+    for chosen in (
+        [(1, 1, OPEN)],
+        [(1, 2, STANDING)],
+        [(1, 2, OVER)],
+        [(1, 3, None)],
+        [(2, 1, FAILED)],
+        [(2, 1, None)],
+        [(1, 2, STANDING), (2, 1, OVER)],
+        [(1, 1, OPEN), (2, 2, STANDING)],
+    )
+]
 
 
 def test_the_rule_is_a_join_over_all_pairs_and_triples_of_small_copies() -> None:
@@ -56,16 +65,19 @@
         assert joined(joined(one, other), third) == joined(one, joined(other, third))
 
 
-versions = st.dictionaries(st.integers(1, 3), st.tuples(
-    st.integers(1, 4), st.frozensets(st.sampled_from(VALUES), min_size=1, max_size=2)), max_size=3)
+versions = st.dictionaries(
+    st.integers(1, 3),
+    st.tuples(st.integers(1, 4), st.frozensets(st.sampled_from(VALUES), min_size=1, max_size=2)),
+    max_size=3,
+)
 whole = st.dictionaries(st.sampled_from(["call/1", "call/2", "owed/1"]), versions, max_size=3)
 
 
 @settings(max_examples=500, deadline=None, derandomize=True)
 @given(whole, whole, whole)
-def test_the_rule_is_a_join_over_drawn_copies(one: dict[str, dict[int, Seen]],
-                                              other: dict[str, dict[int, Seen]],
-                                              third: dict[str, dict[int, Seen]]) -> None:
+def test_the_rule_is_a_join_over_drawn_copies(
+    one: dict[str, dict[int, Seen]], other: dict[str, dict[int, Seen]], third: dict[str, dict[int, Seen]]
+) -> None:
     assert merged(one, one) == one
     assert merged(one, other) == merged(other, one)
     assert merged(merged(one, other), third) == merged(one, merged(other, third))
@@ -110,9 +122,15 @@
 
 words = st.one_of(
     st.builds(Own, st.sampled_from(["a", "b"]), st.integers(1, 3), st.integers(0, 12)),
-    st.builds(Succeed, st.sampled_from(["a", "b"]), st.integers(1, 12), st.sampled_from(["a", "b", "c"]),
-              st.integers(1, 3)),
-    st.builds(Done, st.sampled_from(["a", "b"]), st.integers(1, 12), st.sampled_from(["a", "b", "c"])))
+    st.builds(
+        Succeed,
+        st.sampled_from(["a", "b"]),
+        st.integers(1, 12),
+        st.sampled_from(["a", "b", "c"]),
+        st.integers(1, 3),
+    ),
+    st.builds(Done, st.sampled_from(["a", "b"]), st.integers(1, 12), st.sampled_from(["a", "b", "c"])),
+)
 
 
 @settings(max_examples=500, deadline=None, derandomize=True)
@@ -129,8 +147,9 @@
             if by and stream_.by != by:
                 assert isinstance(word, Succeed)
         for key in before.keys() - epochs.streams.keys():  # R3
-            assert (isinstance(word, Done) and before[key][0] == word.by) \
-                or (isinstance(word, Own) and word.continues == key[1] and not before[key][1])
+            assert (isinstance(word, Done) and before[key][0] == word.by) or (
+                isinstance(word, Own) and word.continues == key[1] and not before[key][1]
+            )
             lost.add(key)
         assert not lost & epochs.streams.keys()
         assert all(epochs.current[owner] >= epoch for owner, epoch in epochs.streams)  # R2
@@ -142,8 +161,12 @@
 # Owner, two holders, successor
 
 BATCHES: tuple[Batch, ...] = (
-    (("call/1", OPEN),), (("call/1", STANDING), ("call/2", OPEN)), (("call/1", OVER), ("owed/1", b"x")),
-    (("owed/1", None), ("call/2", STANDING)), (("call/1", None),))
+    (("call/1", OPEN),),
+    (("call/1", STANDING), ("call/2", OPEN)),
+    (("call/1", OVER), ("owed/1", b"x")),
+    (("owed/1", None), ("call/2", STANDING)),
+    (("call/1", None),),
+)
 NAMES = ("b", "c")
 
 
@@ -166,8 +189,9 @@
     """`a` owns, `b` and `c` hold; each step is one event, and is checked. `acks` of the two must confirm."""
 
     def __init__(self, acks: int) -> None:
-        self.settings = Settings(copies=2, acks=acks, window=2, tail_batches=3, piece_bytes=10,
-                                 pieces_a_second=1e6)
+        self.settings = Settings(
+            copies=2, acks=acks, window=2, tail_batches=3, piece_bytes=10, pieces_a_second=1e6
+        )
         self.now = 0.0
         self.owner: Stream | None = Stream("a", 1, self.settings, [])
         self.places = {name: Place(name) for name in NAMES}
@@ -343,13 +367,46 @@
 
     def key(self) -> bytes:
         """What tells states apart, but for the times."""
-        owner = None if self.owner is None else (
-            self.owner.number, self.owner.over, [(name, each.phase, each.acked, each.sent, list(each.ranges),
-                                                  each.part) for name, each in self.owner.holders.items()])
-        return pickle.dumps((owner, [(place.disk, place.fenced, place.holder.copies.get(("a", 1)) and (
-            (copy := place.holder.copies["a", 1]).at, copy.whole, copy.begun, sorted(copy.wanted),
-            sorted(copy.next_part.items()))) for place in self.places.values()], self.wires, self.effects,
-            self.lease, self.cut, self.by, self.taken, self.lost, self.faults))
+        owner = (
+            None
+            if self.owner is None
+            else (
+                self.owner.number,
+                self.owner.over,
+                [
+                    (name, each.phase, each.acked, each.sent, list(each.ranges), each.part)
+                    for name, each in self.owner.holders.items()
+                ],
+            )
+        )
+        return pickle.dumps(
+            (
+                owner,
+                [
+                    (
+                        place.disk,
+                        place.fenced,
+                        place.holder.copies.get(("a", 1))
+                        and (
+                            (copy := place.holder.copies["a", 1]).at,
+                            copy.whole,
+                            copy.begun,
+                            sorted(copy.wanted),
+                            sorted(copy.next_part.items()),
+                        ),
+                    )
+                    for place in self.places.values()
+                ],
+                self.wires,
+                self.effects,
+                self.lease,
+                self.cut,
+                self.by,
+                self.taken,
+                self.lost,
+                self.faults,
+            )
+        )
 
 
 def begun(acks: int) -> World:
@@ -373,9 +430,14 @@
     for _ in range(3000):
         wire = next((pair for pair, messages in world.wires.items() if messages), None)
         if wire is None:
-            if world.owner is None or world.owner.over or all(
+            if (
+                world.owner is None
+                or world.owner.over
+                or all(
                     each.phase is Phase.WHOLE and each.acked == world.owner.number
-                    for each in world.owner.holders.values()):
+                    for each in world.owner.holders.values()
+                )
+            ):
                 return
             world.step("tick", "", "")
         else:
@@ -486,8 +548,9 @@
 HELD = [(f"call/{number}", bytes([65 + number]) * 20) for number in range(12)]
 
 
-def caught_up(spoil: Callable[[int, Message], Message | None], alone: bool = False,
-              most: int = 400) -> tuple[Stream, Holder, int]:
+def caught_up(
+    spoil: Callable[[int, Message], Message | None], alone: bool = False, most: int = 400
+) -> tuple[Stream, Holder, int]:
     """An owner and one holder until it is whole; `spoil` sees each message to the holder, by its number: what
     it makes of it arrives. None: it is lost, and unless `alone` all that is under way with it."""
     owner, place, now = Stream("a", 7, PAIR, HELD), Holder({}), 0.0
@@ -522,8 +585,9 @@
 def verified(owner: Stream, place: Holder) -> None:
     copy = place.copies["a", 7]
     assert copy.whole and copy.table.root() == owner.table.root()
-    assert {key: value for key, (_, value) in copy.table.entries.items()} \
-        == {key: value for key, (_, value) in owner.table.entries.items()}
+    assert {key: value for key, (_, value) in copy.table.entries.items()} == {
+        key: value for key, (_, value) in owner.table.entries.items()
+    }
 
 
 def test_a_catch_up_that_is_cut_at_any_message_ends_whole_and_sends_no_range_twice_for_it() -> None:
@@ -532,8 +596,12 @@
     assert count > 12
     for cut in range(count):
         for alone in (False, True):
-            verified(*caught_up(lambda number, message: None if number == cut else message,  # noqa: B023
-                                alone)[:2])
+            verified(
+                *caught_up(
+                    lambda number, message: None if number == cut else message,  # noqa: B023
+                    alone,
+                )[:2]
+            )
     ranges = list[int]()
 
     def watched(number: int, message: Message) -> Message | None:
@@ -600,8 +668,9 @@
     self._ack(copy, out)
 
 
-def not_kept(self: Holder, copy: holder.Copy, name: str, number: int, value: bytes | None,
-             out: holder.Output) -> None:
+def not_kept(
+    self: Holder, copy: holder.Copy, name: str, number: int, value: bytes | None, out: holder.Output
+) -> None:
     copy.table.put(name, number, value)
 
 
@@ -610,7 +679,8 @@
     "deletions not told to a successor": (holder.Copy, "after", deletions_not_told),
     "the successor's own copy alone": (Gathering, "ready", own_copy_alone),
     "a gap passed over": (Holder, "_append", gap_passed_over),
-    "confirmed and not kept": (Holder, "_put", not_kept)}
+    "confirmed and not kept": (Holder, "_put", not_kept),
+}
 
 
 @pytest.mark.parametrize("name", PLANTED)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,15 @@
 from frostport import interface as api
 from tests.bench import Proxy, finals, sends, server
 
-OUTCOMES = [api.Outcome.FULL, api.Outcome.TIMEOUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET,
-            api.Outcome.ERROR, api.Outcome.NOT_SENT, api.Outcome.CANCELLED]
+OUTCOMES = [
+    api.Outcome.FULL,
+    api.Outcome.TIMEOUT,
+    api.Outcome.CONNECT_FAILED,
+    api.Outcome.RESET,
+    api.Outcome.ERROR,
+    api.Outcome.NOT_SENT,
+    api.Outcome.CANCELLED,
+]
 
 
 @pytest.mark.parametrize("seed", range(12))
@@ -42,8 +49,11 @@
             proxy.calls += 1
             name = f"call-{proxy.calls}"
             end[name] = proxy.now + budget
-            proxy.give(api.CallArrived(name, dice.choice(["plain", "dear"]), "", budget,
-                                       dice.randrange(3), proxy.calls))
+            proxy.give(
+                api.CallArrived(
+                    name, dice.choice(["plain", "dear"]), "", budget, dice.randrange(3), proxy.calls
+                )
+            )
             look()
         proxy.run(20.0)
         look()
@@ -104,8 +114,13 @@
     proxy.give(api.ListUpdate(api.ListKind.CHANGES, 2, (cold,)))
     proxy.log.clear()
     proxy.load(3.0, 10.0, 60.0, first=0)
-    early = len([action for _, action in proxy.log
-                 if isinstance(action, api.SendAttempt) and action.server == cold.address])
+    early = len(
+        [
+            action
+            for _, action in proxy.log
+            if isinstance(action, api.SendAttempt) and action.server == cold.address
+        ]
+    )
     # A third of the six a second that the warm one takes, for three seconds of the ramp.
     assert 3 <= early <= 14
     proxy.run(proxy.settings.cold_ms + decide.PENDING_MS + 2 * decide.TICK_MS)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -22,11 +22,20 @@
     return {**record, "settings": {**record["settings"], "services": services}}
 
 
-@pytest.mark.parametrize(("longest", "most", "kill"), [
-    (100.0, RESTART_MOST_MS, 800.0), (1100.0, RESTART_MOST_MS, 1800.0), (3000.0, RESTART_MOST_MS, 3700.0),
-    (9000.0, RESTART_MOST_MS, 3700.0), (9000.0, UPGRADE_MOST_MS, 5700.0), (250.0, UPGRADE_MOST_MS, 950.0)])
-def test_all_is_done_before_sigkill_and_what_comes_by_then_is_taken(longest: float, most: float,
-                                                                    kill: float) -> None:
+@pytest.mark.parametrize(
+    ("longest", "most", "kill"),
+    [
+        (100.0, RESTART_MOST_MS, 800.0),
+        (1100.0, RESTART_MOST_MS, 1800.0),
+        (3000.0, RESTART_MOST_MS, 3700.0),
+        (9000.0, RESTART_MOST_MS, 3700.0),
+        (9000.0, UPGRADE_MOST_MS, 5700.0),
+        (250.0, UPGRADE_MOST_MS, 950.0),
+    ],
+)
+def test_all_is_done_before_sigkill_and_what_comes_by_then_is_taken(
+    longest: float, most: float, kill: float
+) -> None:
     plan = schedule([50.0, longest], most)
     assert 600.0 <= plan.take_ms <= plan.answer_ms < plan.exit_ms < kill
     assert plan.answer_ms >= kill - 250.0  # nothing is given up long before it has to be
@@ -47,7 +56,8 @@
         wait 60
         expect agent exit
     """,
-    "twice, and a reload between": OUT + """
+    "twice, and a reload between": OUT
+    + """
         send agent term
         wait 100
         send agent term
@@ -102,7 +112,9 @@
 
 def test_sigterm_during_a_drain_answers_what_is_open() -> None:
     record = {**short(), "operator": "10.0.9.2:1"}
-    play(OUT + """
+    play(
+        OUT
+        + """
         door drain => OK
         send agent term
         send agent term
@@ -112,15 +124,23 @@
         expect c1 STARTED a
         wait 460
         expect agent exit
-    """, record)
+    """,
+        record,
+    )
 
 
 def test_a_client_that_does_not_read_keeps_the_program_no_longer_than_it_may() -> None:
     world = play(OUT, short())
     for wire in list(world.actors["c1"].wires):
         wire.other.loseConnection = lambda: None  # what was written never leaves
-    for line in ("send s0 STARTED a blob=x", "send agent term", "wait 1700", "expect agent phase stopping",
-                 "wait 51", "expect agent exit"):
+    for line in (
+        "send s0 STARTED a blob=x",
+        "send agent term",
+        "wait 1700",
+        "expect agent phase stopping",
+        "wait 51",
+        "expect agent exit",
+    ):
         world.step(line)
     assert world.agent.lifecycle.phase is Phase.STOPPED
 
--- a/tests/test_sigkill.py
+++ b/tests/test_sigkill.py
@@ -47,7 +47,8 @@
     with (folder / "log").open("wb") as log:
         for kill in range(KILLS + 1):
             program = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "frostport", "serve", "--config", str(path), stderr=log)
+                sys.executable, "-m", "frostport", "serve", "--config", str(path), stderr=log
+            )
             try:
                 await up(port)
                 if kill < KILLS:
@@ -67,6 +68,7 @@
 
 async def ended_by_servers(lobbies: Sequence[Lobby], books: Books) -> None:
     """Servers hold only what nobody knows of; they end it, and each end is confirmed, after its record."""
+
     def left() -> set[str]:
         return {call for lobby in lobbies for call in lobby.held} - books.unsure
 
@@ -117,6 +119,9 @@
     assert "Traceback" not in log and "stopped:" not in log
     found = tools.contents(tmp_path / "s.store")
     assert found.sequence > 1000 and found.torn == 0
-    standing = [key for key, value in found.values.items()
-                if isinstance(records.decode(key, value)[2], records.Standing)]
+    standing = [
+        key
+        for key, value in found.values.items()
+        if isinstance(records.decode(key, value)[2], records.Standing)
+    ]
     assert standing == []
--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -13,14 +13,16 @@
     expect c1 STARTED a
 """
 SCENARIOS = {
-    "a server that vanishes: its caller is told within 8 s, and not before 7": STANDS + """
+    "a server that vanishes: its caller is told within 8 s, and not before 7": STANDS
+    + """
         close s0 silent
         wait 6900
         expect c1 nothing
         wait 1050
         expect c1 FINISH a rc=41
     """,
-    "one that was only cut off, and speaks on its old connection: the call stays": STANDS + """
+    "one that was only cut off, and speaks on its old connection: the call stays": STANDS
+    + """
         close s0 silent
         wait 6500
         expect c1 nothing
@@ -30,7 +32,8 @@
         send c1 FINISH a rc=16
         expect c1 FINISHED a
     """,
-    "one that is back after the limit is told that the call is over": STANDS + """
+    "one that is back after the limit is told that the call is over": STANDS
+    + """
         close s0 silent
         wait 8000
         expect c1 FINISH a rc=41
@@ -39,7 +42,8 @@
         wait 1100
         expect s0 FINISH a rc=16
     """,
-    "a release that no server confirmed is said again where its connection breaks": STANDS + """
+    "a release that no server confirmed is said again where its connection breaks": STANDS
+    + """
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         close s0
@@ -50,7 +54,8 @@
         wait 600
         expect s0 nothing
     """,
-    "one that is confirmed is not": STANDS + """
+    "one that is confirmed is not": STANDS
+    + """
         send c1 FINISH a rc=16
         expect s0 FINISH a rc=16
         send s0 FINISHED a
@@ -58,7 +63,8 @@
         wait 600
         expect s0 nothing
     """,
-    "a lost connection is dialed until one comes up, while another is open": STANDS + """
+    "a lost connection is dialed until one comes up, while another is open": STANDS
+    + """
         send c1 START b class=race left=9000 extras=dest:0
         expect s0 START b
         send c1 START c class=race left=9000 extras=dest:0
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -36,9 +36,12 @@
 def test_no_name_of_a_deployment_stands_in_the_program() -> None:
     given = FIRST.union(*(names(tomllib.loads(path.read_text())) for path in SITES))
     assert len(given) > 20
-    texts = [(at, node.value) for at in ROOT.glob("frostport/**/*.py")
-             for node in ast.walk(ast.parse(at.read_text()))
-             if isinstance(node, ast.Constant) and isinstance(node.value, str)]
+    texts = [
+        (at, node.value)
+        for at in ROOT.glob("frostport/**/*.py")
+        for node in ast.walk(ast.parse(at.read_text()))
+        if isinstance(node, ast.Constant) and isinstance(node.value, str)
+    ]
     deploy = (ROOT / "deploy/balancer.toml").read_text()
     found = [(at.name, name) for at, text in texts for name in given if name in text.split()]
     assert not found and not [name for name in given if name in deploy.split()]
@@ -46,22 +49,42 @@
 
 def settings(site: dict[str, Any]) -> dict[str, Any]:
     """A site's figures in the form that a call agent reads; of a range, the lower end."""
+
     def least(value: Any) -> float:
         return float(value[0] if isinstance(value, list) else value)
 
     rules, family, allow = site["rules"], site["fam"], site["allow"]
     kind = site["tier"][0]["kind"][0]
-    services = [{"name": part["name"], "aim-ms": part["aim_ms"], "deadline-ms": part["deadline_ms"],
-                 "gain": part["worth"], "late-worth": part["late_worth"]} for part in site["class"]]
+    services = [
+        {
+            "name": part["name"],
+            "aim-ms": part["aim_ms"],
+            "deadline-ms": part["deadline_ms"],
+            "gain": part["worth"],
+            "late-worth": part["late_worth"],
+        }
+        for part in site["class"]
+    ]
     base = platform()["settings"]
-    return {**base, "services": services,
-            "caps": {**base["caps"], "try-limit": allow["max_attempts"]},
-            "family-info": {"topology": "pools", "pools-by-class": [[0, 1]] * len(services),
-                            "holding-ms": [1000.0 * least(family["hold_s"])] * len(services),
-                            "release-guard-ms": family["release_ms"], "retransmit-ms": family["resend_ms"]},
-            "rules": {"drain-grace-ms": rules["drain_grace_ms"], "fall-multiple": rules["fall_multiple"],
-                      "fall-ms": rules["fall_ms"], "cold-from": least(kind["cold_from"]),
-                      "cold-ms": 1000.0 * least(kind["cold_s"])}}
+    return {
+        **base,
+        "services": services,
+        "caps": {**base["caps"], "try-limit": allow["max_attempts"]},
+        "family-info": {
+            "topology": "pools",
+            "pools-by-class": [[0, 1]] * len(services),
+            "holding-ms": [1000.0 * least(family["hold_s"])] * len(services),
+            "release-guard-ms": family["release_ms"],
+            "retransmit-ms": family["resend_ms"],
+        },
+        "rules": {
+            "drain-grace-ms": rules["drain_grace_ms"],
+            "fall-multiple": rules["fall_multiple"],
+            "fall-ms": rules["fall_ms"],
+            "cold-from": least(kind["cold_from"]),
+            "cold-ms": 1000.0 * least(kind["cold_s"]),
+        },
+    }
 
 
 @pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
@@ -77,11 +100,14 @@
         expect s0 nothing
         expect s1 nothing
     """
-    world = play(f"""
+    world = play(
+        f"""
         send c1 START a class={name} left={longest} extras=dest:0
         expect s0 START a
         {again}
-    """, record)
+    """,
+        record,
+    )
     request = world.agent.broker.find("a".zfill(16))
     assert request is not None and request.attempts == 1
     world.wait(60.0)  # the guard, a tick of its own, and the module's beat
@@ -89,7 +115,8 @@
     world.wait(longest)
     assert request.state.value == "over" and world.agent.rules.stopped.total() == 0
     kill = min(longest, 3000.0) + 700.0
-    play(f"""
+    play(
+        f"""
         send c1 START a class={name} left={longest} extras=dest:0
         expect s0 START a
         send agent term
@@ -97,12 +124,15 @@
         wait {kill - min(longest, kill) + 1}
         expect c1 FINISH a rc=41
         expect agent exit
-    """, record)
+    """,
+        record,
+    )
 
 
 @pytest.mark.parametrize("path", SITES, ids=lambda path: path.stem)
 def test_a_set_up_held_behind_a_dial_goes_to_a_draining_server_within_its_grace_only(
-        path: pathlib.Path) -> None:
+    path: pathlib.Path,
+) -> None:
     site = tomllib.loads(path.read_text())
     record = {**platform(), "settings": settings(site)}
     record["settings"]["caps"] = {**record["settings"]["caps"], "connect-timeout-ms": 60_000.0}
@@ -111,12 +141,15 @@
     for wait, goes in ((grace - 10, True), (grace + 10, False)):
         if wait >= left:
             continue
-        world = play(f"""
+        world = play(
+            f"""
             close s0 late
             send c1 START a class={name} left={left} extras=dest:0
             send bus {event(2, host(0, "draining"))}
             wait {wait}
             send s0 up
-        """, record)
+        """,
+            record,
+        )
         heard = [said[""] for said in world.actors["s0"].inbox]
         assert ("START" in heard) is goes, (wait, heard)
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -38,8 +38,11 @@
         site.run(1000.0)
         if site.serving() == len(site.agents) == site.count:
             return
-    left = [(name, agent.waves.why, agent.feed.role.value) for name, agent in site.agents.items()
-            if not agent.waves.ready]
+    left = [
+        (name, agent.waves.why, agent.feed.role.value)
+        for name, agent in site.agents.items()
+        if not agent.waves.ready
+    ]
     raise AssertionError(f"{len(left)} do not serve: {left[:5]}; collapsed: {site.collapsed()}")
 
 
@@ -95,8 +98,13 @@
 def feeders_die_in_the_first_second(site: Site) -> None:
     site.run(2000.0)
     for _ in range(3):
-        site.kill([name for name, agent in site.agents.items()
-                   if agent.zone == "z0" and agent.feed.role is Role.FEEDING])
+        site.kill(
+            [
+                name
+                for name, agent in site.agents.items()
+                if agent.zone == "z0" and agent.feed.role is Role.FEEDING
+            ]
+        )
         site.run(300.0)
     site.count = len(site.agents)
     all_serve(site, 25_000.0)
@@ -108,15 +116,19 @@
     """They are alive as far as anyone knows, and say nothing: others feed within the drain's grace."""
     all_serve(site, 20_000.0)
     site.run(3000.0)
-    stalled = [name for name, agent in site.agents.items()
-               if agent.zone == "z0" and agent.feed.role is Role.FEEDING]
+    stalled = [
+        name for name, agent in site.agents.items() if agent.zone == "z0" and agent.feed.role is Role.FEEDING
+    ]
     assert stalled
     site.freeze(stalled, 8000.0)
     site.run(100.0)
     offset = site.publish()
     site.run(3000.0)
-    late = {name: agent.heard_at.get(offset, site.now) - site.told_at[offset]
-            for name, agent in site.agents.items() if name not in stalled}
+    late = {
+        name: agent.heard_at.get(offset, site.now) - site.told_at[offset]
+        for name, agent in site.agents.items()
+        if name not in stalled
+    }
     assert max(late.values()) <= DRAIN_MS, sorted(late.items(), key=lambda each: -each[1])[:3]
     site.run(8000.0)
     heard(site)
@@ -172,12 +184,15 @@
     "a zone's feeders die in the first second": (feeders_die_in_the_first_second, {}),
     "feeders stall": (feeders_stall, {}),
     "half hold a list 100 events old": (
-        half_hold_an_old_list, {"offset": lambda number: 100 if number % 2 else 0}),
+        half_hold_an_old_list,
+        {"offset": lambda number: 100 if number % 2 else 0},
+    ),
     "clocks 5 s apart": (all_at_once, {"skew_ms": 5000.0}),
     "a zone is cut off": (a_zone_cut_off_during_the_start, {}),
     "three of all are seen": (three_of_all_are_seen, {}),
     "a rolling restart": (a_rolling_restart_in_the_middle, {}),
-    "a server that never speaks": (one_that_accepts_and_never_speaks, {})}
+    "a server that never speaks": (one_that_accepts_and_never_speaks, {}),
+}
 
 
 def made(case: str, count: int, seed: int, eager: bool = False) -> Site:
@@ -186,6 +201,7 @@
     if case == "half hold a list 100 events old":
         site.last = site.kept_from = 100
     if case == "three of all are seen":
+
         def hidden(viewer: str, other: str) -> bool:
             return (int(other[1:]) - int(viewer[1:])) % count > 3
 
@@ -286,22 +302,29 @@
 
 
 told = st.builds(
-    lambda at, count, age, here, asks: Told(at, tuple(b"event %d" % (at + 1 + n) for n in range(count)), age,
-                                            here, asks),
-    st.integers(0, 12), st.integers(0, 4), st.sampled_from([-1.0, 0.0, 900.0, 5000.0]), st.booleans(),
-    st.booleans())
+    lambda at, count, age, here, asks: Told(
+        at, tuple(b"event %d" % (at + 1 + n) for n in range(count)), age, here, asks
+    ),
+    st.integers(0, 12),
+    st.integers(0, 4),
+    st.sampled_from([-1.0, 0.0, 900.0, 5000.0]),
+    st.booleans(),
+    st.booleans(),
+)
 steps = st.one_of(
     st.tuples(st.just("told"), st.sampled_from(["b", "c", "d"]), told),
     st.tuples(st.just("ask"), st.sampled_from(["b", "c", "d"]), st.builds(Ask, st.integers(0, 12))),
     st.tuples(st.just("members"), st.sets(st.sampled_from(["b", "c", "d", "e"])), st.none()),
     st.tuples(st.sampled_from(["up", "down", "word", "tick"]), st.none(), st.none()),
-    st.tuples(st.just("time"), st.sampled_from([100.0, 1000.0, 4000.0]), st.none()))
+    st.tuples(st.just("time"), st.sampled_from([100.0, 1000.0, 4000.0]), st.none()),
+)
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
 @given(st.lists(steps, max_size=60))
 def test_whatever_comes_events_are_taken_in_order_and_an_old_list_is_looked_after(
-        script: list[tuple[str, object, object]]) -> None:
+    script: list[tuple[str, object, object]],
+) -> None:
     feed, now, offset = Feed("a", "z", 0, Settings(agents=4, feeders=1, patience_ms=5000.0), 0.0), 0.0, 0
     connected = asked = False
 
@@ -365,15 +388,24 @@
 
 # The configuration
 
-SCHEMA = json.loads((pathlib.Path(__file__).parent.parent / "deploy" / "config.schema.json").read_text(
-    encoding="utf-8"))["properties"]["startup"]
-
-
-@pytest.mark.parametrize("section, field", [
-    ({"agents": 0}, "agents"), ({"agents": 1.5}, "agents"), ({"wave": 2}, "wave"),
-    ({"old_ms": "soon"}, "old_ms"), ({"old_ms": 500}, "old_ms"), ({"feeders": True}, "feeders"),
-    ({"nonsense": 1}, "nonsense"),
-    ({"lists_a_second": 0}, "lists_a_second")])
+SCHEMA = json.loads(
+    (pathlib.Path(__file__).parent.parent / "deploy" / "config.schema.json").read_text(encoding="utf-8")
+)["properties"]["startup"]
+
+
+@pytest.mark.parametrize(
+    "section, field",
+    [
+        ({"agents": 0}, "agents"),
+        ({"agents": 1.5}, "agents"),
+        ({"wave": 2}, "wave"),
+        ({"old_ms": "soon"}, "old_ms"),
+        ({"old_ms": 500}, "old_ms"),
+        ({"feeders": True}, "feeders"),
+        ({"nonsense": 1}, "nonsense"),
+        ({"lists_a_second": 0}, "lists_a_second"),
+    ],
+)
 def test_a_bad_field_is_named_by_reader_and_schema_alike(section: dict[str, Any], field: str) -> None:
     with pytest.raises(ConfigError, match=f"startup.{field}"):
         config_startup.read({"startup": section})
@@ -382,8 +414,9 @@
 
 
 def test_the_schema_names_what_the_reader_knows_with_the_same_defaults() -> None:
-    assert {name: told["default"] for name, told in SCHEMA["properties"].items()} \
-        == dataclasses.asdict(Settings())
+    assert {name: told["default"] for name, told in SCHEMA["properties"].items()} == dataclasses.asdict(
+        Settings()
+    )
     given = {"agents": 200, "wave": 0.5}
     jsonschema.validate(given, SCHEMA)
     assert config_startup.read({"startup": given}) == Settings(agents=200, wave=0.5)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -48,9 +48,13 @@
 
 def batches(chance: random.Random, count: int, keys: int = 9) -> Iterator[list[frames.Change]]:
     for number in range(count):
-        yield [(f"call/{chance.randrange(keys)}",
-                None if chance.random() < 0.3 else b"%d-%d" % (number, chance.randrange(10 ** 6)))
-               for _ in range(chance.randint(1, 4))]
+        yield [
+            (
+                f"call/{chance.randrange(keys)}",
+                None if chance.random() < 0.3 else b"%d-%d" % (number, chance.randrange(10**6)),
+            )
+            for _ in range(chance.randint(1, 4))
+        ]
 
 
 def small_store() -> tuple[MemoryFolder, Model, Model]:
@@ -89,13 +93,14 @@
 
 
 def damaged(how: str, data: bytes, at: int) -> bytes:
-    return data[:at] if how == "cut" else data[:at] + bytes([data[at] ^ 1 << at % 8]) + data[at + 1:]
+    return data[:at] if how == "cut" else data[:at] + bytes([data[at] ^ 1 << at % 8]) + data[at + 1 :]
 
 
 @pytest.mark.parametrize("how", ["cut", "flipped"])
-@pytest.mark.parametrize("worth", [0, 10 ** 6], ids=["by index", "by log"])
-def test_every_file_cut_and_flipped_at_every_byte(how: str, worth: int,
-                                                  monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("worth", [0, 10**6], ids=["by index", "by log"])
+def test_every_file_cut_and_flipped_at_every_byte(
+    how: str, worth: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """A cut and a flipped bit are not a lost power: what was acknowledged is there, or the store says no."""
     monkeypatch.setattr(recovery, "WORTH", worth)
     folder, acknowledged, written = small_store()
@@ -203,9 +208,9 @@
                 engine = Engine.open(found, SMALL, store=5)
                 folder = found
                 contents = engine.take_recovered()
-                assert contents in models[told["acknowledged"]:], (step, restart)
+                assert contents in models[told["acknowledged"] :], (step, restart)
                 told["acknowledged"] = len(models) - 1 - models[::-1].index(contents)
-                models = models[:told["acknowledged"] + 1]
+                models = models[: told["acknowledged"] + 1]
                 engine.append([("later", b"%d" % restart)])
                 models.append(applied(models[-1], [("later", b"%d" % restart)]))
                 engine.sync()
@@ -218,7 +223,7 @@
 class StoreMachine(RuleBasedStateMachine):
     """Any order of writes, syncs, steps in the background, faults and crashes, beside plain dictionaries."""
 
-    @initialize(seed=st.integers(0, 2 ** 32))
+    @initialize(seed=st.integers(0, 2**32))
     def begin(self, seed: int) -> None:
         self.chance = random.Random(seed)
         self.folder = MemoryFolder(chance=self.chance)
@@ -233,8 +238,12 @@
             return False
         return True
 
-    @rule(changes=st.lists(st.tuples(st.sampled_from("abcdefgh"), st.none() | st.binary(max_size=60)),
-                           min_size=1, max_size=6), sync=st.booleans())
+    @rule(
+        changes=st.lists(
+            st.tuples(st.sampled_from("abcdefgh"), st.none() | st.binary(max_size=60)), min_size=1, max_size=6
+        ),
+        sync=st.booleans(),
+    )
     def write(self, changes: list[frames.Change], sync: bool) -> None:
         try:
             self.engine.append(changes)
@@ -285,7 +294,7 @@
     def come_back(self) -> None:
         self.engine = Engine.open(self.folder, SMALL, store=9)
         contents = self.engine.take_recovered()
-        assert contents in self.models[self.acknowledged:]
+        assert contents in self.models[self.acknowledged :]
         self.models, self.acknowledged = [contents], 0
 
     @invariant()
@@ -301,8 +310,13 @@
 
 
 TestStoreMachine = StoreMachine.TestCase
-TestStoreMachine.settings = settings(max_examples=120, stateful_step_count=40, derandomize=True,
-                                     deadline=None, suppress_health_check=list(HealthCheck))
+TestStoreMachine.settings = settings(
+    max_examples=120,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 def test_space_stays_bounded_under_endless_churn(tmp_path: pathlib.Path) -> None:
@@ -310,8 +324,10 @@
     engine = Engine.open(DiskFolder(tmp_path), limits)
     worst = 0.0
     for number in range(1500):
-        engine.append([(f"call/{(number * 16 + at) % 400}", bytes(90)) for at in range(16)]
-                      + [(f"cold/{number}", bytes(90))] * (number < 200))
+        engine.append(
+            [(f"call/{(number * 16 + at) % 400}", bytes(90)) for at in range(16)]
+            + [(f"cold/{number}", bytes(90))] * (number < 200)
+        )
         engine.tidy()
         on_disk = sum(path.stat().st_size for path in tmp_path.glob("log-*"))
         assert on_disk == engine.total_bytes
@@ -369,7 +385,8 @@
             folder.fails_at, folder.lasting = -1, False
         changes: list[frames.Change] = [
             (f"k{chance.randrange(9)}", None if chance.random() < 0.3 else chance.randbytes(20))
-            for _ in range(chance.randint(1, 4))]
+            for _ in range(chance.randint(1, 4))
+        ]
         model = applied(model, changes)
         told = dict(model)
         heard: list[bool] = []
@@ -381,8 +398,9 @@
             worker.run()
         revived += before is committer.State.FAILED and at.state is committer.State.OPEN
         assert heard
-        if at.state is committer.State.OPEN and (how is committer.Durability.ALWAYS
-                                                 or before is committer.State.FAILED):
+        if at.state is committer.State.OPEN and (
+            how is committer.Durability.ALWAYS or before is committer.State.FAILED
+        ):
             promised = told
             if at.engine.synced == at.engine.sequence:
                 assert reopened(folder.crash(chance)) == promised
@@ -397,7 +415,8 @@
 
 
 def test_past_its_limit_a_failed_store_says_that_a_restart_is_needed(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     monkeypatch.setattr(committer, "KEPT_MOST", 5)
     folder, worker, clock, deadlines = MemoryFolder(), Turns(), SetClock(), Deadlines()
     at = committer.Committer(Engine.open(folder, SMALL), worker, clock, deadlines)
@@ -465,11 +484,19 @@
     assert reopened(MemoryFolder({**folder.contents(), "index.db": foreign})) == model
 
 
-@pytest.mark.parametrize("change", [
-    "DELETE FROM live WHERE key = 'call/3'", "UPDATE live SET offset = 36 WHERE key = 'call/3'",
-    "UPDATE live SET key = 'call/99' WHERE key = 'call/3'", "UPDATE live SET sequence = 1",
-    "INSERT INTO live SELECT 'call/77', sequence, segment, offset, size FROM live LIMIT 1",
-    "UPDATE point SET digest = '7'", "UPDATE point SET sequence = sequence + 1", "DROP TABLE live"])
+@pytest.mark.parametrize(
+    "change",
+    [
+        "DELETE FROM live WHERE key = 'call/3'",
+        "UPDATE live SET offset = 36 WHERE key = 'call/3'",
+        "UPDATE live SET key = 'call/99' WHERE key = 'call/3'",
+        "UPDATE live SET sequence = 1",
+        "INSERT INTO live SELECT 'call/77', sequence, segment, offset, size FROM live LIMIT 1",
+        "UPDATE point SET digest = '7'",
+        "UPDATE point SET sequence = sequence + 1",
+        "DROP TABLE live",
+    ],
+)
 def test_an_index_that_was_changed_costs_only_the_index(change: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(recovery, "WORTH", 0)
     folder = MemoryFolder()
--- a/tests/test_store_commands.py
+++ b/tests/test_store_commands.py
@@ -32,12 +32,27 @@
     config.load(ROOT / "deploy" / name)
 
 
-@pytest.mark.parametrize(("field", "value"), [
-    ("path", ""), ("path", 3), ("durability", "sometimes"), ("on_failure", "retry"), ("interval_ms", 0),
-    ("stall_ms", -1), ("stall_ms", "1"), ("segment_bytes", 1024), ("segment_bytes", 2.5), ("record_bytes", 1),
-    ("store_bytes", 2 ** 50), ("checkpoint_records", 0), ("size", 3)])
-def test_a_bad_field_of_the_store_is_named(field: str, value: object, tmp_path: pathlib.Path,
-                                           capsys: pytest.CaptureFixture[str]) -> None:
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("path", ""),
+        ("path", 3),
+        ("durability", "sometimes"),
+        ("on_failure", "retry"),
+        ("interval_ms", 0),
+        ("stall_ms", -1),
+        ("stall_ms", "1"),
+        ("segment_bytes", 1024),
+        ("segment_bytes", 2.5),
+        ("record_bytes", 1),
+        ("store_bytes", 2**50),
+        ("checkpoint_records", 0),
+        ("size", 3),
+    ],
+)
+def test_a_bad_field_of_the_store_is_named(
+    field: str, value: object, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     record = copy.deepcopy(example())
     record["store"][field] = value
     del record["contracts"]
@@ -79,9 +94,21 @@
     engine.close()
     code, out, _ = told(capsys, "dump", tmp_path / "copy")
     lines = [json.loads(line) for line in out.splitlines()]
-    assert lines == [{"key": "bus", "kind": "Bus", "offset": 99, "version": 2, "at": 3.0},
-                     {"key": "call/a", "kind": "Open", "server": "h0", "at": 1.0, "not_before": 2.0,
-                      "attempts": 1, "service": "race", "team": "t", "client": "c", "identity": 7}]
+    assert lines == [
+        {"key": "bus", "kind": "Bus", "offset": 99, "version": 2, "at": 3.0},
+        {
+            "key": "call/a",
+            "kind": "Open",
+            "server": "h0",
+            "at": 1.0,
+            "not_before": 2.0,
+            "attempts": 1,
+            "service": "race",
+            "team": "t",
+            "client": "c",
+            "identity": 7,
+        },
+    ]
     code, out, _ = told(capsys, "compact", path)
     before, after = int(out.split()[0]), int(out.split()[3])
     assert code == 0 and after < before / 10
@@ -119,8 +146,18 @@
 
     loaded = subprocess.run(
         [sys.executable, "-c", "import sys, frostport.agent, frostport.cli; print(*sys.modules)"],
-        capture_output=True, text=True, check=True, cwd=ROOT).stdout.split()
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+    ).stdout.split()
     assert "frostport.core.recorder" in loaded
-    heavy = {"sqlite3", "msgspec", "google_crc32c", "frostport.store", "frostport.state",
-             "frostport.durability"}
+    heavy = {
+        "sqlite3",
+        "msgspec",
+        "google_crc32c",
+        "frostport.store",
+        "frostport.state",
+        "frostport.durability",
+    }
     assert not heavy & set(loaded)
--- a/tests/trials/test_checker.py
+++ b/tests/trials/test_checker.py
@@ -29,8 +29,12 @@
     return Event(at, kind, "n0", number=number, text=text)
 
 
-STANDS = [asked(), server(1.1, Kind.REACHED), server(1.2, Kind.REPLIED, text=ANSWER),
-          client(1.3, Kind.ANSWERED, ANSWER)]
+STANDS = [
+    asked(),
+    server(1.1, Kind.REACHED),
+    server(1.2, Kind.REPLIED, text=ANSWER),
+    client(1.3, Kind.ANSWERED, ANSWER),
+]
 FAILED = client(1.5, Kind.FAILED)
 DRAINS = Event(2.0, Kind.LISTED, "discovery", server="s0", text="draining")
 TOLD = Event(2.1, Kind.DELIVERED, "n0", server="s0", text="draining")
@@ -40,8 +44,13 @@
 
 def drained(reached_at: float, *before: Event) -> list[Event]:
     """A set-up that reaches a server which drains."""
-    return [*before, DRAINS, asked(reached_at - 0.1, 9.0), server(reached_at, Kind.REACHED),
-            client(reached_at + 0.1, Kind.FAILED)]
+    return [
+        *before,
+        DRAINS,
+        asked(reached_at - 0.1, 9.0),
+        server(reached_at, Kind.REACHED),
+        client(reached_at + 0.1, Kind.FAILED),
+    ]
 
 
 SOUND = {
@@ -50,26 +59,56 @@
     "a request that crosses a close": [asked(), client(1.04, Kind.CONNECTION_LOST)],
     "a request at an agent that was killed": [asked(), agent(1.5, Kind.KILLED)],
     "as many attempts as allowed": [
-        asked(), server(1.1, Kind.REACHED), server(1.2, Kind.REPLIED, text="34"),
-        server(1.3, Kind.REACHED, "s1"), server(1.4, Kind.REPLIED, "s1", "34"), FAILED],
+        asked(),
+        server(1.1, Kind.REACHED),
+        server(1.2, Kind.REPLIED, text="34"),
+        server(1.3, Kind.REACHED, "s1"),
+        server(1.4, Kind.REPLIED, "s1", "34"),
+        FAILED,
+    ],
     "a second attempt after the guard": [
-        asked(), server(1.1, Kind.REACHED), server(1.2, Kind.WITHDRAWN), server(1.5, Kind.REACHED, "s1"),
-        server(1.6, Kind.WITHDRAWN, "s1"), client(1.7, Kind.FAILED)],
+        asked(),
+        server(1.1, Kind.REACHED),
+        server(1.2, Kind.WITHDRAWN),
+        server(1.5, Kind.REACHED, "s1"),
+        server(1.6, Kind.WITHDRAWN, "s1"),
+        client(1.7, Kind.FAILED),
+    ],
     "a second attempt while the first one's server is silent": [
-        asked(), server(1.1, Kind.REACHED), AWAY, server(1.9, Kind.REACHED, "s1"), client(2.0, Kind.FAILED)],
+        asked(),
+        server(1.1, Kind.REACHED),
+        AWAY,
+        server(1.9, Kind.REACHED, "s1"),
+        client(2.0, Kind.FAILED),
+    ],
     "an attempt 0.1 s after a give-up": [asked(), client(1.5, Kind.GAVE_UP), server(1.6, Kind.REACHED)],
     "told a second after the server's word": [
-        *STANDS, server(5.0, Kind.ENDED), server(5.0, Kind.END_WRITTEN), client(6.0, Kind.TOLD_OVER)],
-    "told 8 s after an end that nobody could hear": [*STANDS, server(5.0, Kind.CUT),
-                                                    client(13.0, Kind.TOLD_OVER)],
+        *STANDS,
+        server(5.0, Kind.ENDED),
+        server(5.0, Kind.END_WRITTEN),
+        client(6.0, Kind.TOLD_OVER),
+    ],
+    "told 8 s after an end that nobody could hear": [
+        *STANDS,
+        server(5.0, Kind.CUT),
+        client(13.0, Kind.TOLD_OVER),
+    ],
     "told 8 s after an end whose connection broke": [
-        *STANDS, server(5.0, Kind.ENDED), server(5.0, Kind.END_WRITTEN), server(5.1, Kind.END_LOST),
-        client(13.0, Kind.TOLD_OVER)],
+        *STANDS,
+        server(5.0, Kind.ENDED),
+        server(5.0, Kind.END_WRITTEN),
+        server(5.1, Kind.END_LOST),
+        client(13.0, Kind.TOLD_OVER),
+    ],
     "a set-up within the grace": drained(2.6, TOLD),
     "a set-up within the grace of 7 s after the change": drained(9.5),
     "a set-up within the grace of 6 s after a failed call": drained(8.5, DOWN),
-    "a process that ends as it is told": [agent(1.0, Kind.STARTED), agent(1.5, Kind.READY),
-                                          agent(20.0, Kind.TERMINATED), agent(21.0, Kind.EXITED)],
+    "a process that ends as it is told": [
+        agent(1.0, Kind.STARTED),
+        agent(1.5, Kind.READY),
+        agent(20.0, Kind.TERMINATED),
+        agent(21.0, Kind.EXITED),
+    ],
     "ready after 10 s": [agent(1.0, Kind.STARTED), agent(11.0, Kind.READY)],
     "a call left at its server that stands": [*STANDS, server(59.0, Kind.LEFT)],
 }
@@ -80,26 +119,56 @@
     "lost: unanswered at SIGKILL": ("lost", [asked(), agent(0.5, Kind.TERMINATED), agent(2.0, Kind.KILLED)]),
     "second answer": ("second answer", [*STANDS, client(1.5, Kind.FAILED)]),
     "foreign answer": ("foreign answer", [*STANDS[:3], client(1.3, Kind.ANSWERED, "another's")]),
-    "attempts": ("attempts", [
-        asked(), server(1.1, Kind.REACHED), server(1.2, Kind.REPLIED), server(1.3, Kind.REACHED),
-        server(1.4, Kind.REPLIED), server(1.5, Kind.REACHED), server(1.6, Kind.REPLIED),
-        client(1.7, Kind.FAILED)]),
-    "second attempt": ("second attempt", [
-        asked(), server(1.1, Kind.REACHED), server(1.9, Kind.REACHED, "s1"), client(2.0, Kind.FAILED)]),
-    "release guard": ("release guard", [
-        asked(), server(1.1, Kind.REACHED), server(1.2, Kind.WITHDRAWN), server(1.39, Kind.REACHED, "s1"),
-        server(1.5, Kind.WITHDRAWN, "s1"), client(1.7, Kind.FAILED)]),
+    "attempts": (
+        "attempts",
+        [
+            asked(),
+            server(1.1, Kind.REACHED),
+            server(1.2, Kind.REPLIED),
+            server(1.3, Kind.REACHED),
+            server(1.4, Kind.REPLIED),
+            server(1.5, Kind.REACHED),
+            server(1.6, Kind.REPLIED),
+            client(1.7, Kind.FAILED),
+        ],
+    ),
+    "second attempt": (
+        "second attempt",
+        [asked(), server(1.1, Kind.REACHED), server(1.9, Kind.REACHED, "s1"), client(2.0, Kind.FAILED)],
+    ),
+    "release guard": (
+        "release guard",
+        [
+            asked(),
+            server(1.1, Kind.REACHED),
+            server(1.2, Kind.WITHDRAWN),
+            server(1.39, Kind.REACHED, "s1"),
+            server(1.5, Kind.WITHDRAWN, "s1"),
+            client(1.7, Kind.FAILED),
+        ],
+    ),
     "client gone": ("client gone", [asked(), client(1.5, Kind.GAVE_UP), server(1.66, Kind.REACHED)]),
-    "told: later than a second after the word": ("told", [
-        *STANDS, server(5.0, Kind.ENDED), server(5.0, Kind.END_WRITTEN), client(6.06, Kind.TOLD_OVER)]),
-    "told: later than 8 s, the server being silent": ("told", [
-        *STANDS, AWAY, server(5.0, Kind.CUT), client(13.06, Kind.TOLD_OVER)]),
+    "told: later than a second after the word": (
+        "told",
+        [*STANDS, server(5.0, Kind.ENDED), server(5.0, Kind.END_WRITTEN), client(6.06, Kind.TOLD_OVER)],
+    ),
+    "told: later than 8 s, the server being silent": (
+        "told",
+        [*STANDS, AWAY, server(5.0, Kind.CUT), client(13.06, Kind.TOLD_OVER)],
+    ),
     "drain: past the grace": ("drain", drained(2.66, TOLD)),
     "drain: past the grace of 7 s": ("drain", drained(9.56)),
     "drain: past the grace of 6 s after a failed call": ("drain", drained(8.56, DOWN)),
     "crash: nobody asked": ("crash", [agent(5.0, Kind.EXITED, 1.0, "unexpected")]),
-    "crash: on SIGTERM": ("crash", [agent(1.0, Kind.STARTED), agent(2.0, Kind.READY),
-                                    agent(5.0, Kind.TERMINATED), agent(6.0, Kind.EXITED, 1.0)]),
+    "crash: on SIGTERM": (
+        "crash",
+        [
+            agent(1.0, Kind.STARTED),
+            agent(2.0, Kind.READY),
+            agent(5.0, Kind.TERMINATED),
+            agent(6.0, Kind.EXITED, 1.0),
+        ],
+    ),
     "ready": ("ready", [agent(1.0, Kind.STARTED), agent(11.1, Kind.READY)]),
     "left standing": ("left standing", [*STANDS, client(20.0, Kind.RELEASED), server(59.0, Kind.LEFT)]),
 }
--- a/tests/trials/test_seeds.py
+++ b/tests/trials/test_seeds.py
@@ -24,15 +24,18 @@
 def played(cases: list[tuple[int, str]], folder: pathlib.Path) -> list[Result]:
     """Plays seeds, each with a defect or "", a few at a time."""
     with ProcessPoolExecutor(JOBS) as pool:
-        waiting = [pool.submit(trial, seed, [], SECONDS, str(folder / f"{defect}-{seed}"), defect)
-                   for seed, defect in cases]
+        waiting = [
+            pool.submit(trial, seed, [], SECONDS, str(folder / f"{defect}-{seed}"), defect)
+            for seed, defect in cases
+        ]
         return [done.result() for done in waiting]
 
 
 def test_seeds_break_no_rule(tmp_path: pathlib.Path) -> None:
     results = played([(seed, "") for seed in SEEDS], tmp_path)
     assert [(result.seed, result.problem, result.first) for result in results] == [
-        (seed, "", []) for seed in SEEDS]
+        (seed, "", []) for seed in SEEDS
+    ]
     assert all(result.calls > 100 for result in results)
 
 
--- a/tests/trials/test_vanished_server.py
+++ b/tests/trials/test_vanished_server.py
@@ -55,7 +55,8 @@
 
 @pytest.mark.parametrize("probes", [True, False], ids=["probes", "no probes"])
 def test_callers_are_told_of_a_vanished_server_while_discovery_is_down(
-        tmp_path: pathlib.Path, probes: bool) -> None:
+    tmp_path: pathlib.Path, probes: bool
+) -> None:
     events = asyncio.run(played(tmp_path, vanish, Day(probes=probes)))
     assert sum(event.kind is Kind.CUT for event in events) > 30
     assert check(events, Day(probes=probes)) == []
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -66,10 +66,14 @@
     if not shown.violations:
         shutil.rmtree(here)
     return Result(
-        seed, faults, sum(event.kind is Kind.ASKED for event in shown.events),
+        seed,
+        faults,
+        sum(event.kind is Kind.ASKED for event in shown.events),
         dict(Counter(violation.rule for violation in shown.violations)),
         [f"{item.at:.3f} {item.rule} {item.call}: {item.text}" for item in shown.violations[:MOST_SHOWN]],
-        shown.memory_mb, shown.descriptors)
+        shown.memory_mb,
+        shown.descriptors,
+    )
 
 
 def broken_rules(plan: Plan, folder: pathlib.Path) -> set[str]:
@@ -115,8 +119,9 @@
     folder = given.keep or pathlib.Path(tempfile.mkdtemp(prefix="trials-"))
     results = []
     with ProcessPoolExecutor(given.jobs) as pool:
-        waiting = [pool.submit(trial, seed, only, given.seconds, str(folder), given.planted)
-                   for seed in seeds]
+        waiting = [
+            pool.submit(trial, seed, only, given.seconds, str(folder), given.planted) for seed in seeds
+        ]
         for done in as_completed(waiting):
             results.append(done.result())
             if sys.stderr.isatty():
@@ -129,9 +134,11 @@
         for line in result.first:
             print(f"       {line}")
     failed = [result for result in results if result.violations or result.problem]
-    print(f"{len(results)} trials, {sum(result.calls for result in results)} calls, {len(failed)} failed; "
-          f"most memory {max(result.memory_mb for result in results):.0f} MB, "
-          f"most descriptors {max(result.descriptors for result in results)}; kept in {folder}")
+    print(
+        f"{len(results)} trials, {sum(result.calls for result in results)} calls, {len(failed)} failed; "
+        f"most memory {max(result.memory_mb for result in results):.0f} MB, "
+        f"most descriptors {max(result.descriptors for result in results)}; kept in {folder}"
+    )
     if given.json:
         given.json.write_bytes(msgspec.json.encode(results))
     for result in failed if given.reduce else []:
--- a/trials/agents.py
+++ b/trials/agents.py
@@ -19,8 +19,9 @@
 class AgentProcess:
     """One agent, over its restarts."""
 
-    def __init__(self, name: str, folder: pathlib.Path, record: dict[str, Any], history: History,
-                 defect: str = "") -> None:
+    def __init__(
+        self, name: str, folder: pathlib.Path, record: dict[str, Any], history: History, defect: str = ""
+    ) -> None:
         """`record`: its configuration; `defect`: one of `trials.planted`, put in at each start."""
         self.program_arguments = ["trials.planted", defect] if defect else ["frostport"]
         self.name, self.folder, self.record, self.history = name, folder, record, history
@@ -42,8 +43,15 @@
         self.write_configuration()
         self.expected = False
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", *self.program_arguments, "serve", "--config", str(self.path),
-            stdout=self.log, stderr=self.log)
+            sys.executable,
+            "-m",
+            *self.program_arguments,
+            "serve",
+            "--config",
+            str(self.path),
+            stdout=self.log,
+            stderr=self.log,
+        )
         self.history.add(Kind.STARTED, self.name, number=self.program.pid)
         self.watching.append(asyncio.ensure_future(self._watch_end(self.program)))
         self.watching.append(asyncio.ensure_future(self._watch_ready(self.program)))
@@ -75,8 +83,12 @@
         """Sends a signal, and records what it means for the rules."""
         if self.program is None or self.program.returncode is not None:
             return
-        kinds = {signal.SIGTERM: Kind.TERMINATED, signal.SIGKILL: Kind.KILLED, signal.SIGSTOP: Kind.PAUSED,
-                 signal.SIGCONT: Kind.RESUMED}
+        kinds = {
+            signal.SIGTERM: Kind.TERMINATED,
+            signal.SIGKILL: Kind.KILLED,
+            signal.SIGSTOP: Kind.PAUSED,
+            signal.SIGCONT: Kind.RESUMED,
+        }
         if number in (signal.SIGTERM, signal.SIGKILL):
             self.expected = True
         if number in kinds:
--- a/trials/checker.py
+++ b/trials/checker.py
@@ -13,9 +13,19 @@
 from trials.site import Day
 
 RULES: tuple[Callable[[Index], Iterator[Violation]], ...] = (
-    answers.answered_in_time, answers.answered_once, answers.answered_by_a_server,
-    attempts.not_too_many, attempts.one_at_a_time, attempts.release_guard, attempts.client_gone,
-    ends.told, ends.nothing_left, servers.drained, processes.no_crash, processes.ready_in_time)
+    answers.answered_in_time,
+    answers.answered_once,
+    answers.answered_by_a_server,
+    attempts.not_too_many,
+    attempts.one_at_a_time,
+    attempts.release_guard,
+    attempts.client_gone,
+    ends.told,
+    ends.nothing_left,
+    servers.drained,
+    processes.no_crash,
+    processes.ready_in_time,
+)
 
 
 def check(events: Iterable[Event], day: Day) -> list[Violation]:
--- a/trials/client.py
+++ b/trials/client.py
@@ -37,8 +37,17 @@
 class Client(asyncio.Protocol):
     """One client with one connection at a time to one agent."""
 
-    def __init__(self, name: str, agent: str, port: int, history: History, chance: random.Random,
-                 habits: Habits, call_class: str, number: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        agent: str,
+        port: int,
+        history: History,
+        chance: random.Random,
+        habits: Habits,
+        call_class: str,
+        number: int,
+    ) -> None:
         self.name, self.agent, self.port, self.number = name, agent, port, number
         self.history, self.chance, self.habits, self.call_class = history, chance, habits, call_class
         self.transport: Any = None
@@ -72,7 +81,8 @@
             self.lost = asyncio.Event()
             try:
                 await asyncio.wait_for(
-                    loop.create_connection(lambda: self, "127.0.0.1", self.port), CONNECT_S)
+                    loop.create_connection(lambda: self, "127.0.0.1", self.port), CONNECT_S
+                )
             except (OSError, TimeoutError):
                 await asyncio.sleep(PAUSE_S)
                 continue
@@ -141,8 +151,11 @@
         tag = f"{self.number:08x}{self.count:08x}"
         wait_s = self.chance.uniform(*self.habits.wait_s)
         options: dict[str, Any] = {
-            "class": self.call_class, "left": str(round(wait_s * 1000.0)),
-            "extras": "dest:-1;width:1;via:-1", "key": f"{self.count:016x}"}
+            "class": self.call_class,
+            "left": str(round(wait_s * 1000.0)),
+            "extras": "dest:-1;width:1;via:-1",
+            "key": f"{self.count:016x}",
+        }
         line = encode("START", tag, blob=f"description {tag}", **options)
         self.waiting.add(tag)
         loop = asyncio.get_running_loop()
@@ -160,8 +173,7 @@
             return
         self.history.add(Kind.ASKED, self.name, call=tag, number=wait_s, text=self.agent)
         if self.chance.random() < self.habits.cancels_share:
-            asyncio.get_running_loop().call_later(
-                self.chance.uniform(0.0, wait_s / 2.0), self._cancel, tag)
+            asyncio.get_running_loop().call_later(self.chance.uniform(0.0, wait_s / 2.0), self._cancel, tag)
 
     def _cancel(self, tag: str) -> None:
         if tag in self.waiting and self.transport is not None:
@@ -176,8 +188,9 @@
         elif verb == "FINISH" and tag in self.waiting:
             self.waiting.discard(tag)
             refused = int(message["rc"]) in REFUSALS
-            self.history.add(Kind.REFUSED if refused else Kind.FAILED, self.name, call=tag,
-                             number=int(message["rc"]))
+            self.history.add(
+                Kind.REFUSED if refused else Kind.FAILED, self.name, call=tag, number=int(message["rc"])
+            )
         elif verb == "FINISH":
             self.standing.discard(tag)
             self.releasing.discard(tag)
--- a/trials/discovery.py
+++ b/trials/discovery.py
@@ -47,6 +47,7 @@
 
     async def start(self, agent: str) -> None:
         """Listens for an agent, on its port of before if there was one."""
+
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.open[writer] = agent
             with contextlib.suppress(ConnectionError, ValueError, IndexError):
@@ -91,8 +92,10 @@
 
     def event(self, agent: str, number: int) -> dict[str, Any]:
         """One event with this agent's ports."""
-        hosts = [{**host, "dial": f"127.0.0.1:{self.dials[agent][host['host']]}"}
-                 for host in self.changes[number - 1]]
+        hosts = [
+            {**host, "dial": f"127.0.0.1:{self.dials[agent][host['host']]}"}
+            for host in self.changes[number - 1]
+        ]
         return {"offset": number, "topology": {"seq": number, "whole": number == 1, "hosts": hosts}}
 
     def change(self, hosts: list[dict[str, Any]]) -> None:
@@ -102,8 +105,9 @@
             return
         self.changes.append(hosts)
         for host in hosts:
-            self.history.add(Kind.LISTED, "discovery", server=host["host"], text=host["health"],
-                             number=len(self.changes))
+            self.history.add(
+                Kind.LISTED, "discovery", server=host["host"], text=host["health"], number=len(self.changes)
+            )
         self._wake()
 
     def _wake(self) -> None:
--- a/trials/history.py
+++ b/trials/history.py
@@ -81,8 +81,9 @@
         """Seconds since the trial began."""
         return time.monotonic() - self._began
 
-    def add(self, kind: Kind, party: str, *, call: str = "", server: str = "", number: float = 0.0,
-            text: str = "") -> None:
+    def add(
+        self, kind: Kind, party: str, *, call: str = "", server: str = "", number: float = 0.0, text: str = ""
+    ) -> None:
         """Records an event that happens now."""
         self.events.append(Event(self.now(), kind, party, call, server, number, text))
 
--- a/trials/plan.py
+++ b/trials/plan.py
@@ -70,24 +70,44 @@
     day = Day(
         deadline_ms=chance.choice([800.0, 1500.0, 3000.0, 9000.0]),
         grace_ms=chance.choice([300.0, 500.0, 2000.0]),
-        guard_ms=chance.choice([300.0, 500.0]), attempts=chance.choice([2, 4, 6]),
-        probes=chance.random() < 0.5, peers=chance.random() < 0.7)
+        guard_ms=chance.choice([300.0, 500.0]),
+        attempts=chance.choice([2, 4, 6]),
+        probes=chance.random() < 0.5,
+        peers=chance.random() < 0.7,
+    )
     habits = Habits(
-        gap_s=chance.choice([0.05, 0.1, 0.2]), wait_s=(day.deadline_ms / 2000.0, day.deadline_ms / 1000.0),
-        hold_s=chance.choice([1.0, 4.0, 20.0]), ends_share=chance.choice([0.2, 0.5]),
-        cancels_share=chance.choice([0.0, 0.05, 0.2]), closes_every_s=chance.choice([0.0, 0.0, 3.0]),
-        resets=chance.random() < 0.5, pieces=chance.random() < 0.2)
+        gap_s=chance.choice([0.05, 0.1, 0.2]),
+        wait_s=(day.deadline_ms / 2000.0, day.deadline_ms / 1000.0),
+        hold_s=chance.choice([1.0, 4.0, 20.0]),
+        ends_share=chance.choice([0.2, 0.5]),
+        cancels_share=chance.choice([0.0, 0.05, 0.2]),
+        closes_every_s=chance.choice([0.0, 0.0, 3.0]),
+        resets=chance.random() < 0.5,
+        pieces=chance.random() < 0.2,
+    )
     behaviour = Behaviour(
-        answer_s=chance.choice([0.01, 0.05, 0.2]), hold_s=chance.choice([1.0, 4.0, 20.0]),
-        full_share=chance.choice([0.0, 0.05, 0.2]), error_share=chance.choice([0.0, 0.05]),
-        mute_share=chance.choice([0.0, 0.0, 0.05]), early_end_share=chance.choice([0.0, 0.05]),
-        pieces=chance.random() < 0.2, double_share=chance.choice([0.0, 0.0, 0.1]),
-        reports_each=chance.random() < 0.3)
-    size = Size(agents=chance.randint(2, 4), servers=chance.randint(4, 6), clients=3, habits=habits,
-                behaviour=behaviour)
+        answer_s=chance.choice([0.01, 0.05, 0.2]),
+        hold_s=chance.choice([1.0, 4.0, 20.0]),
+        full_share=chance.choice([0.0, 0.05, 0.2]),
+        error_share=chance.choice([0.0, 0.05]),
+        mute_share=chance.choice([0.0, 0.0, 0.05]),
+        early_end_share=chance.choice([0.0, 0.05]),
+        pieces=chance.random() < 0.2,
+        double_share=chance.choice([0.0, 0.0, 0.1]),
+        reports_each=chance.random() < 0.3,
+    )
+    size = Size(
+        agents=chance.randint(2, 4),
+        servers=chance.randint(4, 6),
+        clients=3,
+        habits=habits,
+        behaviour=behaviour,
+    )
     kinds = sorted(only) if only else list(FaultKind)
-    faults = [_draw_fault(chance, FaultKind(chance.choice(kinds)), seconds)
-              for _ in range(chance.randint(FAULTS_LEAST, FAULTS_MOST))]
+    faults = [
+        _draw_fault(chance, FaultKind(chance.choice(kinds)), seconds)
+        for _ in range(chance.randint(FAULTS_LEAST, FAULTS_MOST))
+    ]
     return Plan(seed, day, size, tuple(sorted(faults, key=lambda fault: fault.at_s)), seconds)
 
 
@@ -101,11 +121,15 @@
 
 def without(plan: Plan, index: int) -> Plan:
     """The plan less one fault."""
-    return replace(plan, faults=plan.faults[:index] + plan.faults[index + 1:])
+    return replace(plan, faults=plan.faults[:index] + plan.faults[index + 1 :])
 
 
 def rounded(plan: Plan) -> Plan:
     """The plan with its faults at half seconds."""
-    return replace(plan, faults=tuple(
-        replace(fault, at_s=round(fault.at_s * 2.0) / 2.0, for_s=round(fault.for_s * 2.0) / 2.0)
-        for fault in plan.faults))
+    return replace(
+        plan,
+        faults=tuple(
+            replace(fault, at_s=round(fault.at_s * 2.0) / 2.0, for_s=round(fault.for_s * 2.0) / 2.0)
+            for fault in plan.faults
+        ),
+    )
--- a/trials/planted.py
+++ b/trials/planted.py
@@ -37,10 +37,15 @@
     """A server that drains counts as ready until it is gone."""
     real: Any = Broker.listed
 
-    def listed(self: Broker, kind: api.ListKind, version: int, servers: Iterable[api.Server],
-               dials: Any = None) -> Any:
-        shown = [dataclasses.replace(server, state=api.Lifecycle.READY)
-                 if server.state is api.Lifecycle.DRAINING else server for server in servers]
+    def listed(
+        self: Broker, kind: api.ListKind, version: int, servers: Iterable[api.Server], dials: Any = None
+    ) -> Any:
+        shown = [
+            dataclasses.replace(server, state=api.Lifecycle.READY)
+            if server.state is api.Lifecycle.DRAINING
+            else server
+            for server in servers
+        ]
         return real(self, kind, version, shown, dials)
 
     setattr(Broker, "listed", listed)  # noqa: B010
@@ -72,8 +77,16 @@
 
 
 DEFECTS: dict[str, Callable[[], None]] = {
-    plant.__name__: plant for plant in (release_not_sent, guard_left_out, drain_ignored, answer_twice,
-                                        attempts_for_the_gone, silence_ignored)}
+    plant.__name__: plant
+    for plant in (
+        release_not_sent,
+        guard_left_out,
+        drain_ignored,
+        answer_twice,
+        attempts_for_the_gone,
+        silence_ignored,
+    )
+}
 
 if __name__ == "__main__":
     DEFECTS[sys.argv[1]]()
--- a/trials/play.py
+++ b/trials/play.py
@@ -44,8 +44,12 @@
     async def _at(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
         name, _, rest = fault.kind.value.partition("-")
-        target = {"agent": list(self.site.agents), "server": self._listed(),
-                  "discovery": ["discovery"], "clients": ["clients"]}[name]
+        target = {
+            "agent": list(self.site.agents),
+            "server": self._listed(),
+            "discovery": ["discovery"],
+            "clients": ["clients"],
+        }[name]
         party = target[fault.target % len(target)]
         if party in self.busy:
             return
--- a/trials/rules/answers.py
+++ b/trials/rules/answers.py
@@ -28,8 +28,12 @@
         how = f"its connection was closed after {lost.at - asked.at:.3f} s" if lost is not None else "never"
         if final is not None:
             how = f"after {final.at - asked.at:.3f} s"
-        yield Violation("lost", limit, asked.call, f"asked {asked.text} at {asked.at:.3f} with "
-                                                   f"{asked.number:.3f} s, answered: {how}")
+        yield Violation(
+            "lost",
+            limit,
+            asked.call,
+            f"asked {asked.text} at {asked.at:.3f} with {asked.number:.3f} s, answered: {how}",
+        )
 
 
 def _excused(index: Index, asked: Event, limit: float) -> bool:
--- a/trials/rules/attempts.py
+++ b/trials/rules/attempts.py
@@ -15,7 +15,7 @@
 
 def _end_of(events: list[Event], reached: Event) -> Event | None:
     """How an attempt ended, as its server saw it."""
-    later = events[events.index(reached) + 1:]
+    later = events[events.index(reached) + 1 :]
     return next((event for event in later if event.kind in ENDS and event.server == reached.server), None)
 
 
@@ -35,11 +35,16 @@
             end = _end_of(events, first)
             if end is not None and end.at <= second.at:
                 continue
-            if index.was_unreachable(first.server, first.at, second.at) \
-                    or index.was_unreachable(second.server, first.at, second.at):
+            if index.was_unreachable(first.server, first.at, second.at) or index.was_unreachable(
+                second.server, first.at, second.at
+            ):
                 continue  # a give-up could not arrive, or a set-up arrived late
-            yield Violation("second attempt", second.at, call,
-                            f"at {second.server} while one was out at {first.server} since {first.at:.3f}")
+            yield Violation(
+                "second attempt",
+                second.at,
+                call,
+                f"at {second.server} while one was out at {first.server} since {first.at:.3f}",
+            )
 
 
 def release_guard(index: Index) -> Iterator[Violation]:
@@ -53,8 +58,12 @@
                 continue
             if second.at < end.at or index.was_unreachable(first.server, first.at, second.at):
                 continue
-            yield Violation("release guard", second.at, call,
-                            f"{second.at - end.at:.3f} s after {end.kind.value} at {first.server}")
+            yield Violation(
+                "release guard",
+                second.at,
+                call,
+                f"{second.at - end.at:.3f} s after {end.kind.value} at {first.server}",
+            )
 
 
 def client_gone(index: Index) -> Iterator[Violation]:
@@ -67,8 +76,13 @@
         for event in events:
             if event.kind is not Kind.REACHED or event.at <= gone.at + GONE_S + SLACK_S:
                 continue
-            if index.was_unreachable(event.server, gone.at, event.at) \
-                    or index.was_stopped(agent, gone.at, event.at):
+            if index.was_unreachable(event.server, gone.at, event.at) or index.was_stopped(
+                agent, gone.at, event.at
+            ):
                 continue
-            yield Violation("client gone", event.at, call,
-                            f"at {event.server}, {event.at - gone.at:.3f} s after {gone.kind.value}")
+            yield Violation(
+                "client gone",
+                event.at,
+                call,
+                f"at {event.server}, {event.at - gone.at:.3f} s after {gone.kind.value}",
+            )
--- a/trials/rules/index.py
+++ b/trials/rules/index.py
@@ -85,8 +85,14 @@
 
     def server_of(self, call: str, answered: Event) -> str:
         """The server that made the description which a client was given."""
-        return next((event.server for event in self.by_call[call]
-                     if event.kind is Kind.REPLIED and event.text == answered.text), "")
+        return next(
+            (
+                event.server
+                for event in self.by_call[call]
+                if event.kind is Kind.REPLIED and event.text == answered.text
+            ),
+            "",
+        )
 
     def ended_after(self, agent: str, at: float) -> bool:
         """Whether an agent's process ended after a time: what it knew of its calls is gone with it."""
--- a/trials/rules/processes.py
+++ b/trials/rules/processes.py
@@ -22,10 +22,12 @@
 
 def _before_its_start(index: Index, exited: Event) -> bool:
     """Whether SIGTERM came so early that the program had not taken its signals over."""
-    started = [event for event in index.by_kind[Kind.STARTED]
-               if event.party == exited.party and event.at < exited.at]
-    ready = [event for event in index.by_kind[Kind.READY]
-             if event.party == exited.party and event.at < exited.at]
+    started = [
+        event for event in index.by_kind[Kind.STARTED] if event.party == exited.party and event.at < exited.at
+    ]
+    ready = [
+        event for event in index.by_kind[Kind.READY] if event.party == exited.party and event.at < exited.at
+    ]
     return exited.number == -15.0 and (not ready or ready[-1].at < started[-1].at)
 
 
@@ -34,10 +36,17 @@
     slow: list[Event] = []
     count = 0
     for event in index.by_kind[Kind.STARTED]:
-        ready = next((at for at in index.by_kind[Kind.READY]
-                      if at.party == event.party and at.at > event.at), None)
-        ended = next((at for at in index.by_kind[Kind.TERMINATED] + index.by_kind[Kind.KILLED]
-                      if at.party == event.party and at.at > event.at), None)
+        ready = next(
+            (at for at in index.by_kind[Kind.READY] if at.party == event.party and at.at > event.at), None
+        )
+        ended = next(
+            (
+                at
+                for at in index.by_kind[Kind.TERMINATED] + index.by_kind[Kind.KILLED]
+                if at.party == event.party and at.at > event.at
+            ),
+            None,
+        )
         stopped = index.was_stopped(event.party, event.at, event.at + READY_S)
         if stopped or event.at + READY_S > index.end or (ended is not None and ended.at < event.at + READY_S):
             continue
--- a/trials/rules/servers.py
+++ b/trials/rules/servers.py
@@ -19,19 +19,31 @@
     for change in index.by_kind[Kind.LISTED]:
         if change.text != "draining":
             continue
-        back = next((event.at for event in index.by_kind[Kind.LISTED]
-                     if event.server == change.server and event.at > change.at
-                     and event.text not in DRAINED), index.end)
+        back = next(
+            (
+                event.at
+                for event in index.by_kind[Kind.LISTED]
+                if event.server == change.server and event.at > change.at and event.text not in DRAINED
+            ),
+            index.end,
+        )
         for event in index.by_kind[Kind.REACHED]:
             if event.server != change.server or not change.at < event.at < back:
                 continue
             agent = index.agent_of(event.call)
             told_at = told(index, agent, change)
-            if event.at <= told_at + grace_s + SLACK_S or index.was_stopped(agent, told_at, event.at) \
-                    or index.was_unreachable(event.server, told_at, event.at):
+            if (
+                event.at <= told_at + grace_s + SLACK_S
+                or index.was_stopped(agent, told_at, event.at)
+                or index.was_unreachable(event.server, told_at, event.at)
+            ):
                 continue
-            yield Violation("drain", event.at, event.call,
-                            f"{agent} to {event.server}, {event.at - told_at - grace_s:.3f} s past the grace")
+            yield Violation(
+                "drain",
+                event.at,
+                event.call,
+                f"{agent} to {event.server}, {event.at - told_at - grace_s:.3f} s past the grace",
+            )
 
 
 def told(index: Index, agent: str, change: Event) -> float:
@@ -41,11 +53,20 @@
         limits.append(change.at + TOLD_AFTER_FAILED_S)
     stalls = [event.at for event in index.by_kind[Kind.DISCOVERY_STALLED]]
     stalls += [event.at for event in index.by_kind[Kind.RELOADED] if event.party == agent]
-    limits += [max(change.at, at) + TOLD_AFTER_STALL_S for at in stalls
-               if change.at - TOLD_AT_LATEST_S <= at <= change.at + TOLD_AT_LATEST_S]
-    delivered = [event.at for event in index.by_kind[Kind.DELIVERED]
-                 if event.party == agent and event.server == change.server and event.text in DRAINED
-                 and event.at >= change.at]
-    started = [event.at for event in index.by_kind[Kind.STARTED]
-               if event.party == agent and event.at >= change.at]
+    limits += [
+        max(change.at, at) + TOLD_AFTER_STALL_S
+        for at in stalls
+        if change.at - TOLD_AT_LATEST_S <= at <= change.at + TOLD_AT_LATEST_S
+    ]
+    delivered = [
+        event.at
+        for event in index.by_kind[Kind.DELIVERED]
+        if event.party == agent
+        and event.server == change.server
+        and event.text in DRAINED
+        and event.at >= change.at
+    ]
+    started = [
+        event.at for event in index.by_kind[Kind.STARTED] if event.party == agent and event.at >= change.at
+    ]
     return min([*limits, *delivered, *started])
--- a/trials/server.py
+++ b/trials/server.py
@@ -215,8 +215,9 @@
 class Server:
     """One upstream server."""
 
-    def __init__(self, name: str, history: History, chance: random.Random, behaviour: Behaviour,
-                 agents: list[str]) -> None:
+    def __init__(
+        self, name: str, history: History, chance: random.Random, behaviour: Behaviour, agents: list[str]
+    ) -> None:
         self.name, self.history, self.chance, self.behaviour = name, history, chance, behaviour
         self.process = Process()
         self.doors = {agent: Door(self, agent) for agent in agents}
--- a/trials/site.py
+++ b/trials/site.py
@@ -42,18 +42,40 @@
     def settings(self, servers: int, me: int, agents: int) -> dict[str, Any]:
         """The settings as an agent's configuration has them."""
         return {
-            "services": [{"name": CALL_CLASS, "aim-ms": self.deadline_ms / 2.0,
-                          "deadline-ms": self.deadline_ms, "late-worth": 0.1, "effect": self.effect}],
-            "caps": {"try-limit": self.attempts, "may-cancel": True, "probes": self.probes,
-                     "peers": self.peers, "connect-timeout-ms": self.connect_timeout_ms},
-            "family-info": {"topology": "pools", "pools-by-class": [list(range(servers))],
-                            "holding-ms": [4000.0], "release-guard-ms": self.guard_ms,
-                            "retransmit-ms": 400.0},
+            "services": [
+                {
+                    "name": CALL_CLASS,
+                    "aim-ms": self.deadline_ms / 2.0,
+                    "deadline-ms": self.deadline_ms,
+                    "late-worth": 0.1,
+                    "effect": self.effect,
+                }
+            ],
+            "caps": {
+                "try-limit": self.attempts,
+                "may-cancel": True,
+                "probes": self.probes,
+                "peers": self.peers,
+                "connect-timeout-ms": self.connect_timeout_ms,
+            },
+            "family-info": {
+                "topology": "pools",
+                "pools-by-class": [list(range(servers))],
+                "holding-ms": [4000.0],
+                "release-guard-ms": self.guard_ms,
+                "retransmit-ms": 400.0,
+            },
             "report": {"columns": ["free", "size", "can_take"], "how": "piggyback"},
-            "me": me, "siblings": agents,
-            "rules": {"drain-grace-ms": self.grace_ms, "cold-from": self.cold_from,
-                      "cold-ms": self.cold_ms, "fall-multiple": self.fall_multiple,
-                      "fall-ms": self.fall_ms}}
+            "me": me,
+            "siblings": agents,
+            "rules": {
+                "drain-grace-ms": self.grace_ms,
+                "cold-from": self.cold_from,
+                "cold-ms": self.cold_ms,
+                "fall-multiple": self.fall_multiple,
+                "fall-ms": self.fall_ms,
+            },
+        }
 
 
 @dataclass
@@ -99,19 +121,28 @@
             if number >= self.size.servers:
                 server.crash()  # nobody there yet: refuses
             self.entries[server.name] = {
-                "host": server.name, "site": "east", "class": "std", "block": number, "health": "ready",
-                "share": 4, "born_ms": 0}
+                "host": server.name,
+                "site": "east",
+                "class": "std",
+                "block": number,
+                "health": "ready",
+                "share": 4,
+                "born_ms": 0,
+            }
         self.discovery = Discovery(self.history, dials)
-        self.discovery.changes.append(
-            [self.entries[f"s{number}"] for number in range(self.size.servers)])
+        self.discovery.changes.append([self.entries[f"s{number}"] for number in range(self.size.servers)])
         ports = free_ports(len(names) * 3)
         for number, name in enumerate(names):
             await self.discovery.start(name)
             record = {
-                "name": name, "listen": f"127.0.0.1:{ports[3 * number]}", "seed": f"{number:02x}",
-                "limits": {"sockets": self.day.sockets}, "bus": f"127.0.0.1:{self.discovery.ports[name]}",
+                "name": name,
+                "listen": f"127.0.0.1:{ports[3 * number]}",
+                "seed": f"{number:02x}",
+                "limits": {"sockets": self.day.sockets},
+                "bus": f"127.0.0.1:{self.discovery.ports[name]}",
                 "known": {"offset": 1, "batch": [self.discovery.event(name, 1)]},
-                "settings": self.day.settings(len(self.servers), number, len(names))}
+                "settings": self.day.settings(len(self.servers), number, len(names)),
+            }
             record["operator"] = f"127.0.0.1:{ports[3 * number + 2]}"
             if self.day.peers:
                 record["peer_listen"] = f"127.0.0.1:{ports[3 * number + 1]}"
@@ -121,8 +152,16 @@
         async with asyncio.timeout(READY_S):
             await asyncio.gather(*(agent.ready() for agent in self.agents.values()))
         for number, name in enumerate(names * self.size.clients):
-            client = Client(f"c{number}", name, ports[3 * names.index(name)], self.history, self._fork(),
-                            self.size.habits, CALL_CLASS, number + 1)
+            client = Client(
+                f"c{number}",
+                name,
+                ports[3 * names.index(name)],
+                self.history,
+                self._fork(),
+                self.size.habits,
+                CALL_CLASS,
+                number + 1,
+            )
             self.clients.append(client)
             client.start()
         self.watching = asyncio.ensure_future(self._watch())
