--- a/tests/trials/test_seeds.py
+++ b/tests/trials/test_seeds.py
@@ -9,14 +9,14 @@
 from trials.plan import SECONDS
 
 JOBS = 3
-# Restarts and a reset; a vanished server that comes back; a drained server; a server cut off.
+# Restarts and a reset; a vanished server that comes back; a drained server; over Diameter, a server cut off.
 SEEDS = (1, 10, 13, 48)
 PLANTED = {  # each with a seed on which it shows, and the rule that it breaks
     "release_not_sent": (5, "left standing"),
     "guard_left_out": (13, "release guard"),
     "drain_ignored": (5, "drain"),
     "answer_twice": (2, "second answer"),
-    "attempts_for_the_gone": (3, "client gone"),
+    "attempts_for_the_gone": (4, "client gone"),
     "silence_ignored": (10, "told"),
 }
 
--- a/trials/agents.py
+++ b/trials/agents.py
@@ -65,11 +65,17 @@
         while program.returncode is None:
             with contextlib.suppress(OSError, TimeoutError, ValueError):
                 async with asyncio.timeout(1.0):
-                    if await passes_test(host, int(port)):
+                    if await self._serves(host, int(port)):
                         self.history.add(Kind.READY, self.name)
                         return
             await asyncio.sleep(LOOK_S)
 
+    async def _serves(self, host: str, port: int) -> bool:
+        """Whether it says that it serves: by a test of its front, or where that is Diameter's by its call."""
+        if "diameter" in self.record:
+            return (await self.ask("ready")).startswith("OK yes")
+        return await passes_test(host, port)
+
     async def ready(self) -> None:
         """Waits until the process that was started last is ready, or has ended."""
         if self.watching:
--- a/trials/client.py
+++ b/trials/client.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from standins.lobby import encode
+from trials.diameter import Codec
 from trials.history import History, Kind
 from trials.pieces import Pieces
 
@@ -47,7 +48,11 @@
         habits: Habits,
         call_class: str,
         number: int,
+        diameter: bool = False,
     ) -> None:
+        """`diameter`: whether it is a Diameter peer, or speaks the platform's lines."""
+        self.diameter = diameter
+        self.codec: Codec | None = None
         self.name, self.agent, self.port, self.number = name, agent, port, number
         self.history, self.chance, self.habits, self.call_class = history, chance, habits, call_class
         self.transport: Any = None
@@ -99,11 +104,20 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport, self.rest, self.closing_here = transport, b"", False
         self.pieces = Pieces()
+        if self.diameter:
+            self.codec = Codec(self.name, True)
+            self.transport.write(self.codec.begin())
         self._write(encode("ECHO", "0" * 16, rc=0))  # an agent tells nothing to one that says nothing
         for tag in self.releasing:
             self._write(encode("FINISH", tag, rc=NORMAL))
 
     def data_received(self, data: bytes) -> None:
+        if self.codec is not None:
+            heard = self.codec.feed(data)
+            self._write_bytes(heard.replies)
+            for message in heard.messages:
+                self._heard(message)
+            return
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             self._heard(json.loads(line))
@@ -142,7 +156,7 @@
 
     async def _ask(self) -> None:
         while True:
-            if self.asking and not self.closing_here:
+            if self.asking and not self.closing_here and (self.codec is None or self.codec.open):
                 self._set_up()
             await asyncio.sleep(self.chance.expovariate(1.0 / self.habits.gap_s))
 
@@ -163,9 +177,12 @@
 
     def _write(self, line: bytes) -> float:
         """Writes a line, at once or in pieces; how long it takes, in seconds."""
-        if self.habits.pieces:
-            return self.pieces.write(self.transport, line)
-        self.transport.write(line)
+        return self._write_bytes(line if self.codec is None else self.codec.encode(line))
+
+    def _write_bytes(self, data: bytes) -> float:
+        if self.habits.pieces and data:
+            return self.pieces.write(self.transport, data)
+        self.transport.write(data)
         return 0.0
 
     def _asked(self, tag: str, wait_s: float) -> None:
--- a/trials/discovery.py
+++ b/trials/discovery.py
@@ -70,7 +70,7 @@
         had = int((await reader.readline()).split()[1])
         if self.mode is Mode.SLOW:
             await asyncio.sleep(SLOW_S)
-        while not writer.is_closing():
+        while not (writer.is_closing() or reader.at_eof()):
             changed = self.changed
             if self.mode in (Mode.UP, Mode.SLOW) and writer not in self.stalled:
                 for number in range(had + 1, len(self.changes) + 1):
--- a/trials/plan.py
+++ b/trials/plan.py
@@ -13,6 +13,7 @@
 CALM_S = 1.0  # before the first fault
 SECONDS = 16.0  # from the start of calls to the last fault's end
 FAULTS_LEAST, FAULTS_MOST = 3, 7
+DIAMETER_EVERY = 3  # seeds: a third of the trials are played over Diameter
 
 
 class FaultKind(StrEnum):
@@ -43,6 +44,14 @@
     CLIENTS_CROWD = "clients-crowd"  # many connections that say nothing
 
 
+# With Diameter the servers stand in the configuration: there is no discovery.
+PLATFORM_ALONE = frozenset(kind for kind in FaultKind if kind.value.startswith("discovery")) | {
+    FaultKind.AGENT_RELOAD,
+    FaultKind.SERVER_DRAIN,
+    FaultKind.SERVER_REPLACE,
+}
+
+
 @dataclass(frozen=True)
 class Fault:
     """One fault; times in seconds from the start of calls."""
@@ -108,6 +117,9 @@
         _draw_fault(chance, FaultKind(chance.choice(kinds)), seconds)
         for _ in range(chance.randint(FAULTS_LEAST, FAULTS_MOST))
     ]
+    if seed % DIAMETER_EVERY == 0:
+        day = replace(day, diameter=True, probes=False, peers=False)
+        faults = [fault for fault in faults if fault.kind not in PLATFORM_ALONE]
     return Plan(seed, day, size, tuple(sorted(faults, key=lambda fault: fault.at_s)), seconds)
 
 
--- a/trials/server.py
+++ b/trials/server.py
@@ -16,6 +16,7 @@
 
 from standins.lobby import encode
 from standins.ports import free_ports
+from trials.diameter import Codec
 from trials.history import History, Kind
 from trials.pieces import Pieces
 
@@ -60,6 +61,7 @@
 class Process:
     """What a server's process knows; a new process knows nothing."""
 
+    number: int = 1
     calls: dict[str, ServerCall] = field(default_factory=dict)
     unconfirmed: dict[str, str] = field(default_factory=dict)  # ended here and not confirmed: its agent
     links: list[Link] = field(default_factory=list)
@@ -79,17 +81,32 @@
         self.answers: dict[str, float] = {}  # calls whose answer was written here: when
         self.closed = False
         self.pieces = Pieces()
+        self.codec = Codec(server.name, False, server.process.number) if server.diameter else None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         self.server.connected(self)
+        if self.codec is None:
+            self.server.greet(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.codec is not None:
+            self._diameter_received(self.codec, data)
+            return
         *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             with contextlib.suppress(ValueError, KeyError):
                 self.server.heard(self, json.loads(line))
 
+    def _diameter_received(self, codec: Codec, data: bytes) -> None:
+        was_open = codec.open
+        heard = codec.feed(data)
+        self._write_bytes(heard.replies)
+        if codec.open and not was_open:
+            self.server.greet(self)
+        for message in heard.messages:
+            self.server.heard(self, message)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
         self.server.disconnected(self)
@@ -101,16 +118,21 @@
         if self.server.cut_off(self.agent):
             self.held.append((data, ends))
             return
-        wait_s = 0.0
-        if self.server.behaviour.pieces:
-            wait_s = self.pieces.write(self.transport, data)
-        else:
-            self.transport.write(data)
+        if self.codec is not None:
+            data = self.codec.encode(data)
+        wait_s = self._write_bytes(data)
         if ends and wait_s:
             asyncio.get_running_loop().call_later(wait_s, self._end_written, ends)
         elif ends:
             self._end_written(ends)
 
+    def _write_bytes(self, data: bytes) -> float:
+        """Writes now, or in pieces; the seconds until the last byte is written."""
+        if self.server.behaviour.pieces and data:
+            return self.pieces.write(self.transport, data)
+        self.transport.write(data)
+        return 0.0
+
     def _end_written(self, call: str) -> None:
         if not self.closed:
             self.ends.add(call)
@@ -216,10 +238,18 @@
     """One upstream server."""
 
     def __init__(
-        self, name: str, history: History, chance: random.Random, behaviour: Behaviour, agents: list[str]
+        self,
+        name: str,
+        history: History,
+        chance: random.Random,
+        behaviour: Behaviour,
+        agents: list[str],
+        diameter: bool = False,
     ) -> None:
+        """`diameter`: whether it is a Diameter peer, or speaks the platform's lines."""
         self.name, self.history, self.chance, self.behaviour = name, history, chance, behaviour
         self.process = Process()
+        self.diameter = diameter
         self.doors = {agent: Door(self, agent) for agent in agents}
         self.vanished = False
         self.hung = False
@@ -264,7 +294,7 @@
         """A vanished machine returns with a new process at its address."""
         for link in list(self.process.links):
             link.abort()
-        self.process = Process()
+        self.process = Process(self.process.number + 1)
         self.vanished = False
         for door in self.doors.values():
             door.resume()
@@ -318,7 +348,7 @@
             door.close()
         for link in list(self.process.links):
             link.abort()
-        self.process = Process()
+        self.process = Process(self.process.number + 1)
 
     def restart(self) -> None:
         """A new process at the same address."""
@@ -354,10 +384,13 @@
     # Connections
 
     def connected(self, link: Link) -> None:
-        """A connection is up: its first line is the server's state, then what is still unconfirmed."""
+        """A connection is up."""
         self.process.links.append(link)
         if self.cut_off(link.agent):
             link.freeze()
+
+    def greet(self, link: Link) -> None:
+        """The first line on a connection is the server's state, then comes what is still unconfirmed."""
         link.write(self._report())
         unheard = {tag: line for tag, (agent, line) in self.process.unheard.items() if agent == link.agent}
         for tag, line in unheard.items():
--- a/trials/site.py
+++ b/trials/site.py
@@ -38,6 +38,7 @@
     peers: bool = True
     effect: str = "pure"
     sockets: int = 256
+    diameter: bool = False  # clients and servers are Diameter peers
 
     def settings(self, servers: int, me: int, agents: int) -> dict[str, Any]:
         """The settings as an agent's configuration has them."""
@@ -114,7 +115,9 @@
         names = [f"n{number}" for number in range(self.size.agents)]
         dials: dict[str, dict[str, int]] = {name: {} for name in names}
         for number in range(self.size.servers + self.size.spare_servers):
-            server = Server(f"s{number}", self.history, self._fork(), self.size.behaviour, names)
+            server = Server(
+                f"s{number}", self.history, self._fork(), self.size.behaviour, names, self.day.diameter
+            )
             self.servers[server.name] = server
             for agent, port in server.start().items():
                 dials[agent][server.name] = port
@@ -134,16 +137,19 @@
         ports = free_ports(len(names) * 3)
         for number, name in enumerate(names):
             await self.discovery.start(name)
-            record = {
+            record: dict[str, Any] = {
                 "name": name,
                 "listen": f"127.0.0.1:{ports[3 * number]}",
+                "operator": f"127.0.0.1:{ports[3 * number + 2]}",
                 "seed": f"{number:02x}",
                 "limits": {"sockets": self.day.sockets},
-                "bus": f"127.0.0.1:{self.discovery.ports[name]}",
-                "known": {"offset": 1, "batch": [self.discovery.event(name, 1)]},
                 "settings": self.day.settings(len(self.servers), number, len(names)),
             }
-            record["operator"] = f"127.0.0.1:{ports[3 * number + 2]}"
+            if self.day.diameter:
+                record["diameter"] = self._diameter(name, dials[name], len(names))
+            else:
+                record["bus"] = f"127.0.0.1:{self.discovery.ports[name]}"
+                record["known"] = {"offset": 1, "batch": [self.discovery.event(name, 1)]}
             if self.day.peers:
                 record["peer_listen"] = f"127.0.0.1:{ports[3 * number + 1]}"
                 record["peers"] = [f"127.0.0.1:{port}" for port in ports[1::3]]
@@ -161,11 +167,25 @@
                 self.size.habits,
                 CALL_CLASS,
                 number + 1,
+                self.day.diameter,
             )
             self.clients.append(client)
             client.start()
         self.watching = asyncio.ensure_future(self._watch())
 
+    def _diameter(self, name: str, dials: dict[str, int], agents: int) -> dict[str, Any]:
+        """An agent's peers: all clients, and the servers that are there from the start."""
+        return {
+            "host": name,
+            "realm": "here",
+            "clients": [f"c{number}" for number in range(agents * self.size.clients)],
+            "watchdog_ms": 6000,
+            "servers": [
+                {"host": f"s{number}", "dial": f"127.0.0.1:{dials[f's{number}']}", "number": number}
+                for number in range(self.size.servers)
+            ],
+        }
+
     async def _watch(self) -> None:
         while True:
             for agent in self.agents.values():
@@ -185,6 +205,8 @@
     def refresh_known(self, agent: AgentProcess) -> None:
         """A process that starts is given the list as it stands."""
         assert self.discovery is not None
+        if self.day.diameter:
+            return
         number = len(self.discovery.changes)
         events = [self.discovery.event(agent.name, at) for at in range(1, number + 1)]
         agent.record["known"] = {"offset": number, "batch": events}
