--- a/frostport/starting.py
+++ b/frostport/starting.py
@@ -306,7 +306,7 @@
             self.chosen = chosen_servers(sorted(listed), self.name, agents, self.settings.servers)
         for host in sorted(self.chosen - before):
             if not servers[host].connections:
-                servers[host].want(self.turns.first(host, self.monotonic.now()))
+                servers[host].schedule_dial(self.turns.first(host, self.monotonic.now()))
 
     # Ready
 
