The connection kept silent gives its place up once the server is heard elsewhere

Cause, by a second reading: a connection that was retired as silent stayed open for good where the server spoke on a newer one within 2 s, and took one of four places (upstream.py: look, reset). Now it is dropped once anything was heard after it, once no call stands there, and with its process. Seen red: the new scenario.

--- a/frostport/core/server_liveness.py
+++ b/frostport/core/server_liveness.py
@@ -85,6 +85,10 @@
         """Whether there is anything to decide if calls stand at the server."""
         return self._suspicion is not None or now_ms >= self._last_heard_ms + QUIET_MS
 
+    def heard_after(self, at_ms: float) -> bool:
+        """Whether anything was heard later than a time."""
+        return self._last_heard_ms > at_ms
+
     def heard(self, now_ms: float, opened_at_ms: float) -> bool:
         """Something was read on a connection that was opened at a time; whether this ends a suspicion."""
         if self._old_are_asked and opened_at_ms > self._last_heard_ms:
--- a/frostport/net/upstream.py
+++ b/frostport/net/upstream.py
@@ -162,8 +162,7 @@
     def _process_died(self, refused_at: float) -> None:
         self.broker.cut(self.host, refused_at, "its process is dead")
         if self.retired is not None and self.retired.opened_at <= refused_at:
-            self.retired.drop()
-            self.connection_closed(self.retired)
+            self._drop_retired()
 
     def _again(self, pause_ms: float) -> None:
         self.schedule_dial(self.pool.dialing.again(self.host, pause_ms))
@@ -281,8 +280,8 @@
     # Liveness
 
     def sign_of_life(self, connection: ServerConnection) -> None:
-        """Something was read on a connection, or it came up at a server that does not greet."""
-        if self.liveness.heard(self.pool.clock.now(), connection.opened_at):
+        """Something was read on a connection, or one came up at a server that does not greet."""
+        if self.liveness.heard(connection.heard_at, connection.opened_at):
             log.info("%s: liveness: suspected -> alive, heard on connection %d", self.host, connection.slot)
             if self.replacing:
                 self.connect()  # guards against waiting for the next dial's time with what it is told on it
@@ -297,8 +296,13 @@
     def look(self, now_ms: float) -> None:
         """Looks after calls that stand at a server which may have vanished."""
         if not self.liveness.quiet(now_ms):
+            if self.retired is not None and self.liveness.heard_after(self.retired.heard_at):
+                self._drop_retired()
             return
-        for action in self.liveness.look(now_ms, self.broker.calls_stand(self.host)):
+        calls_stand = self.broker.calls_stand(self.host)
+        if not calls_stand:
+            self._drop_retired()
+        for action in self.liveness.look(now_ms, calls_stand):
             match action:
                 case Suspected(since_ms):
                     log.warning(
@@ -313,6 +317,12 @@
                 case CallsLost(since_ms, stood_by_ms):
                     self.calls_lost(since_ms, stood_by_ms)
 
+    def _drop_retired(self) -> None:
+        """The silent connection that was kept has nothing to prove any more: it gives its place up."""
+        if self.retired is not None:
+            self.retired.drop()
+            self.connection_closed(self.retired)
+
     def ask_for_life(self, since_ms: float | None) -> None:
         """Tests the connections, or where tests are not allowed dials a new one, which is greeted."""
         if not self.pool.probes:
@@ -363,9 +373,6 @@
         if self.redial is not None:
             self.redial.cancel()
         self.reset(math.inf, "off the list")
-        if self.retired is not None:
-            self.retired.drop()
-            self.connection_closed(self.retired)
         if self.dialing is not None:
             self.dialing.cancel()
         waiting, self.waiting = self.waiting, []
@@ -378,6 +385,8 @@
         for connection in [at for at in self.connections if at.opened_at <= before_ms]:
             connection.drop()
             self.connection_closed(connection)
+        if self.retired is not None and self.retired.opened_at <= before_ms:
+            self._drop_retired()
 
     # Sending
 
--- a/frostport/net/upstream_connection.py
+++ b/frostport/net/upstream_connection.py
@@ -46,6 +46,7 @@
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:  # noqa: N802 (Twisted's name)
         if self.alive and isinstance(reason.value, ConnectionDone):
+            self.heard_at = self.clock.now()
             self.server.sign_of_life(self)  # the server closed it
         elif self.alive:
             self.server.liveness.reset(self.clock.now())
--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -63,6 +63,36 @@
         wait 600
         expect s0 nothing
     """,
+    "a silent connection that was kept stays while nothing else is heard": STANDS
+    + """
+        send c1 START b class=race left=1200 extras=dest:0
+        expect s0 START b
+        close s0 silent
+        wait 1200
+        expect s0 FINISH b rc=16
+        expect c1 FINISH b rc=41
+        wait 3000
+        expect s0 nothing
+        send s0 LOAD 0 load=x0:5;x1:9
+        wait 5000
+        expect c1 nothing
+        send c1 FINISH a rc=16
+        expect c1 FINISHED a
+    """,
+    "a silent connection that was kept is dropped once others speak": STANDS
+    + """
+        send c1 START b class=race left=1200 extras=dest:0
+        expect s0 START b
+        wait 1199
+        expect s0 nothing
+        wait 1
+        expect s0 FINISH b rc=16
+        expect c1 FINISH b rc=41
+        wait 600
+        expect s0 closed
+        wait 9000
+        expect c1 nothing
+    """,
     "a lost connection is dialed until one comes up, while another is open": STANDS
     + """
         send c1 START b class=race left=9000 extras=dest:0
