--- a/frostport/diameter/route.py
+++ b/frostport/diameter/route.py
@@ -13,9 +13,8 @@
 from frostport.core.broker import Broker
 from frostport.core.calls import Attempt, Front, Request, State
 from frostport.core.deadlines import Deadline
+from frostport.core.liveness_sweep import LivenessSweep
 from frostport.core.server_liveness import (
-    PAUSE_MS,
-    PERIOD_MS,
     AskForLife,
     CallsLost,
     ServerLiveness,
@@ -71,7 +70,7 @@
         self.servers: dict[str, ServerPeer] = {}
         self.version = 0
         self.ending = False
-        self._looked_at_ms = broker.clock.now()
+        self._sweep = LivenessSweep(self.clock, self.deadlines, self.servers.values, self._look_at)
         for entry in servers:
             liveness = ServerLiveness(broker.clock.now(), sessions_lost_ms)
             self.servers[entry.host] = ServerPeer(entry, liveness)
@@ -81,8 +80,7 @@
         self.broker.listed(ListKind.PERSISTED, self.version, [])  # each joins once it has been reached
         for server in self.servers.values():
             self.dial(server)
-        self._looked_at_ms = self.clock.now()
-        self.deadlines.set(self._looked_at_ms + PERIOD_MS, self._look)
+        self._sweep.start()
 
     def dial(self, server: ServerPeer) -> None:
         if server.link is not None or server.dialing is not None or self.ending:
@@ -222,18 +220,9 @@
         ):
             log.info("%s: liveness: suspected -> alive", server.host)
 
-    def _look(self) -> None:
-        now = self.clock.now()
-        paused = now - self._looked_at_ms > PAUSE_MS
-        self._looked_at_ms = now
-        for server in self.servers.values():
-            if paused:
-                server.liveness.paused(now)
-            if server.liveness.quiet(now):
-                self._look_at(server, now)
-        self.deadlines.set(now + PERIOD_MS, self._look)
-
     def _look_at(self, server: ServerPeer, now_ms: float) -> None:
+        if not server.liveness.quiet(now_ms):
+            return
         for action in server.liveness.look(now_ms, self.broker.calls_stand(server.host)):
             match action:
                 case Suspected(since_ms):
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -132,12 +132,13 @@
     def __init__(self, bus: EventBus) -> None:
         super().__init__(bus.clock, bus.deadlines, LONGEST)
         self.bus = bus
-        self.lines_heard = 0  # with its coming up as the first
+        self.answered = False  # a line has come on it
 
     def opened(self) -> None:
         self.bus.up(self)
 
     def line(self, line: bytes) -> None:
+        self.answered = True
         self.bus.heard(self)
         try:
             record = orjson.loads(line)
@@ -246,7 +247,6 @@
         if connection is self.slow:
             self._prefer(connection)
         if connection is self.connection:
-            connection.lines_heard += 1
             self._await(SILENT_MS, self._silent)
 
     def _silent(self) -> None:
@@ -256,7 +256,7 @@
         connection = self.connection
         if connection is None:
             return
-        if connection.lines_heard > 1:
+        if connection.answered:
             connection.drop()
             return
         log.info("event bus: no answer for %.0f ms, asked on another connection", SILENT_MS)
--- a/frostport/net/upstream.py
+++ b/frostport/net/upstream.py
@@ -228,8 +228,7 @@
             connection.spoilt()
             return
         if kept is not None:
-            kept.drop()
-            self.connection_closed(kept)
+            kept.spoilt()
         out = self._take_out_of_use(connection)
         self.retired, connection.retired = connection, True
         log.info(
@@ -320,8 +319,7 @@
     def _drop_retired(self) -> None:
         """The silent connection that was kept has nothing to prove any more: it gives its place up."""
         if self.retired is not None:
-            self.retired.drop()
-            self.connection_closed(self.retired)
+            self.retired.spoilt()
 
     def ask_for_life(self, since_ms: float | None) -> None:
         """Tests the connections, or where tests are not allowed dials a new one, which is greeted."""
@@ -344,8 +342,7 @@
         idle = [at for at in self.connections if not at.out]
         if self.dialing is None and self.open_connections() >= CONNECTIONS_MOST and len(idle) > 1:
             oldest = min(idle, key=lambda at: at.heard_at)
-            oldest.drop()
-            self.connection_closed(oldest)
+            oldest.spoilt()
 
     def calls_lost(self, since_ms: float, stood_by_ms: float) -> None:
         """A server has been silent for too long: its calls are over, for their callers and for itself.
@@ -357,8 +354,7 @@
         over = self.broker.cut(self.host, stood_by_ms, f"silent for {silent_ms:.0f} ms")
         old = [at for at in self.connections if at.opened_at <= since_ms]
         for connection in old if self.retired is None else [*old, self.retired]:
-            connection.drop()
-            self.connection_closed(connection)
+            connection.spoilt()
         for tag in over:
             self._release_later(tag, jsonl.NORMAL)
         if self.connections:
@@ -383,8 +379,7 @@
         """The process that ran before a time is gone: its connections, its set-ups and its calls with it."""
         self.broker.cut(self.host, before_ms, why)
         for connection in [at for at in self.connections if at.opened_at <= before_ms]:
-            connection.drop()
-            self.connection_closed(connection)
+            connection.spoilt()
         if self.retired is not None and self.retired.opened_at <= before_ms:
             self._drop_retired()
 
--- a/frostport/net/upstream_pool.py
+++ b/frostport/net/upstream_pool.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Iterable
 
 from frostport.core.broker import Broker
 from frostport.core.calls import Attempt, Front
 from frostport.core.dialing import EAGER, Dialing
-from frostport.core.server_liveness import PAUSE_MS, PERIOD_MS
+from frostport.core.liveness_sweep import LivenessSweep
 from frostport.core.slots import Slots
 from frostport.interface import Outcome
 from frostport.net import jsonl
 from frostport.net.upstream import CONNECTIONS_MOST, Connect, UpstreamServer
 from frostport.net.upstream_connection import ServerConnection
 
-log = logging.getLogger("frostport.upstream")
-
 
 class UpstreamPool:
     """All upstream servers of the list, as the broker's route."""
@@ -30,24 +27,11 @@
         self.dialing: Dialing = EAGER
         self.due: Callable[[int], None] = lambda connections: None  # told how many these may open in all
         self.probes = broker.rules.settings.probes  # whether servers may be tested
-        self._looked_at_ms = self.clock.now()
+        self._sweep = LivenessSweep(self.clock, self.deadlines, self.members.values, UpstreamServer.look)
 
     def start(self) -> None:
         """Looks after silent servers from now on."""
-        self._looked_at_ms = self.clock.now()
-        self.deadlines.set(self._looked_at_ms + PERIOD_MS, self._look)
-
-    def _look(self) -> None:
-        now = self.clock.now()
-        paused = now - self._looked_at_ms > PAUSE_MS
-        self._looked_at_ms = now
-        if paused:
-            log.warning("this process was paused: servers get time to be heard")
-        for server in list(self.members.values()):
-            if paused:
-                server.liveness.paused(now)
-            server.look(now)
-        self.deadlines.set(now + PERIOD_MS, self._look)
+        self._sweep.start()
 
     def add(self, host: str, dial: str, born_ms: float) -> None:
         """A server that is on the list, before the module hears of it."""
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -207,8 +207,13 @@
 
 def abort(writer: asyncio.StreamWriter) -> None:
     """Closes with a reset (RST), as a broken peer does."""
-    sock = writer.get_extra_info("socket")
+    reset(writer.transport)
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """The same for what is not a stream's."""
+    sock = transport.get_extra_info("socket")
     if sock is not None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-    writer.transport.abort()
+    transport.abort()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,6 +25,21 @@
     expect c1 STARTED a blob=answer
 """
 )
+TWO_CONNECTIONS = (
+    SET_UP
+    + """
+        send c2 START b class=race left=3000 extras=dest:0
+        expect s0 START b
+        send s0 STARTED b blob=x
+        expect c2 STARTED b
+        send c2 START c class=race left=3000 extras=dest:0
+        expect s0 START c
+        wait 500
+        send s0 STARTED c blob=x
+        expect c2 STARTED c
+        send s0 LOAD 0 load=x0:5;x1:9 on=c
+    """
+)
 SCENARIOS = {
     "an answer lost with its connection and told again, when the call stands elsewhere: released": """
         send c1 START a class=race left=8000 extras=dest:0
@@ -418,18 +433,8 @@
         wait 560
         expect s0 START a
     """,
-    "a connection that falls silent while another brings reports is ended": SET_UP
+    "a connection that falls silent while another brings reports is ended": TWO_CONNECTIONS
     + """
-        send c2 START b class=race left=3000 extras=dest:0
-        expect s0 START b
-        send s0 STARTED b blob=x
-        expect c2 STARTED b
-        send c2 START c class=race left=3000 extras=dest:0
-        expect s0 START c
-        wait 500
-        send s0 STARTED c blob=x
-        expect c2 STARTED c
-        send s0 LOAD 0 load=x0:5;x1:9 on=c
         wait 500
         expect s0 nothing
         send s0 LOAD 0 load=x0:6;x1:9 on=c
@@ -441,18 +446,8 @@
         wait 560
         expect s0 START a
     """,
-    "with probes, one that lags is tested: one that answers stays, one that does not goes": SET_UP
+    "with probes, one that lags is tested: one that answers stays, one that does not goes": TWO_CONNECTIONS
     + """
-        send c2 START b class=race left=3000 extras=dest:0
-        expect s0 START b
-        send s0 STARTED b blob=x
-        expect c2 STARTED b
-        send c2 START c class=race left=3000 extras=dest:0
-        expect s0 START c
-        wait 500
-        send s0 STARTED c blob=x
-        expect c2 STARTED c
-        send s0 LOAD 0 load=x0:5;x1:9 on=c
         send s0 LOAD 0 load=x0:6;x1:9 on=c
         wait 149
         expect s0 ECHO rc=1
--- a/trials/client.py
+++ b/trials/client.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import random
-import socket
 from dataclasses import dataclass
 from typing import Any
 
+from standins.faults import reset
 from standins.lobby import encode
 from trials.diameter import Codec
 from trials.history import History, Kind
@@ -64,7 +63,6 @@
         self.standing: set[str] = set()
         self.releasing: set[str] = set()  # released and not confirmed: said again on each new connection
         self.asking = True
-        self.paused = False  # stands aside while its agent restarts and nobody listens
         self.tasks: list[asyncio.Task[None]] = []
         self.lost: asyncio.Event = asyncio.Event()
         self.closing_here = False
@@ -142,10 +140,9 @@
         self.closing_here = True
         self._lose(Kind.CLIENT_CLOSED)
         if self.habits.resets:
-            sock = self.transport.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-        self.transport.abort()
+            reset(self.transport)
+        else:
+            self.transport.abort()
 
     async def _close_sometime(self) -> None:
         if self.habits.closes_every_s:
--- a/trials/planted.py
+++ b/trials/planted.py
@@ -14,6 +14,7 @@
 from frostport import settings
 from frostport.cli import main
 from frostport.core.broker import Broker
+from frostport.core.liveness_sweep import LivenessSweep
 from frostport.net.front import PlatformFront
 from frostport.net.upstream_pool import UpstreamPool
 
@@ -73,7 +74,7 @@
 
 def silence_ignored() -> None:
     """Nobody looks after servers that have fallen silent."""
-    setattr(UpstreamPool, "_look", lambda self: None)  # noqa: B010
+    setattr(LivenessSweep, "look", lambda self: None)  # noqa: B010
 
 
 DEFECTS: dict[str, Callable[[], None]] = {
--- a/trials/play.py
+++ b/trials/play.py
@@ -13,7 +13,6 @@
 from trials.discovery import Mode
 from trials.history import Event, Kind
 from trials.plan import Fault, Plan
-from trials.server import Server
 from trials.site import Site
 
 QUIESCE_S = 10.0  # longer than any caller may wait to be told
@@ -162,11 +161,8 @@
         server = self.site.servers[party]
         self.site.list_as(party, "draining")
         await asyncio.sleep(self.plan.day.grace_ms / 1000.0 + GONE_AFTER_S)
-        self._end(server)
-        self.site.list_as(party, "gone")
-
-    def _end(self, server: Server) -> None:
         server.crash()
+        self.site.list_as(party, "gone")
 
     async def _server_replace(self, fault: Fault, party: str) -> None:
         if self.spare < len(self.site.servers):
--- a/trials/rules/attempts.py
+++ b/trials/rules/attempts.py
@@ -27,43 +27,36 @@
             yield Violation("attempts", reached[-1].at, call, f"{len(reached)} of {index.day.attempts}")
 
 
-def one_at_a_time(index: Index) -> Iterator[Violation]:
-    """No second attempt reaches a server while one is out."""
+def _successive(index: Index) -> Iterator[tuple[str, Event, Event, Event | None]]:
+    """Each call with two attempts in a row, and how the first one ended."""
     for call, events in index.by_call.items():
         reached = [event for event in events if event.kind is Kind.REACHED]
         for first, second in pairwise(reached):
-            end = _end_of(events, first)
-            if end is not None and end.at <= second.at:
-                continue
-            if index.was_unreachable(first.server, first.at, second.at) or index.was_unreachable(
-                second.server, first.at, second.at
-            ):
-                continue  # a give-up could not arrive, or a set-up arrived late
-            yield Violation(
-                "second attempt",
-                second.at,
-                call,
-                f"at {second.server} while one was out at {first.server} since {first.at:.3f}",
-            )
+            yield call, first, second, _end_of(events, first)
+
+
+def one_at_a_time(index: Index) -> Iterator[Violation]:
+    """No second attempt reaches a server while one is out."""
+    for call, first, second, end in _successive(index):
+        if end is not None and end.at <= second.at:
+            continue
+        servers = (first.server, second.server)
+        if any(index.was_unreachable(server, first.at, second.at) for server in servers):
+            continue  # a give-up could not arrive, or a set-up arrived late
+        text = f"at {second.server} while one was out at {first.server} since {first.at:.3f}"
+        yield Violation("second attempt", second.at, call, text)
 
 
 def release_guard(index: Index) -> Iterator[Violation]:
     """After an attempt that ended uncleanly, the next one waits for the release guard."""
     guard_s = index.day.guard_ms / 1000.0
-    for call, events in index.by_call.items():
-        reached = [event for event in events if event.kind is Kind.REACHED]
-        for first, second in pairwise(reached):
-            end = _end_of(events, first)
-            if end is None or end.kind is Kind.REPLIED or second.at >= end.at + guard_s - NOTICED_S:
-                continue
-            if second.at < end.at or index.was_unreachable(first.server, first.at, second.at):
-                continue
-            yield Violation(
-                "release guard",
-                second.at,
-                call,
-                f"{second.at - end.at:.3f} s after {end.kind.value} at {first.server}",
-            )
+    for call, first, second, end in _successive(index):
+        if end is None or end.kind is Kind.REPLIED or second.at >= end.at + guard_s - NOTICED_S:
+            continue
+        if second.at < end.at or index.was_unreachable(first.server, first.at, second.at):
+            continue
+        text = f"{second.at - end.at:.3f} s after {end.kind.value} at {first.server}"
+        yield Violation("release guard", second.at, call, text)
 
 
 def client_gone(index: Index) -> Iterator[Violation]:
--- a/trials/server.py
+++ b/trials/server.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 from typing import Any
 
+from standins.faults import reset
 from standins.lobby import encode
 from standins.ports import free_ports
 from trials.diameter import Codec
@@ -158,10 +159,7 @@
         """Closes with a reset."""
         if self.closed:
             return
-        sock = self.transport.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-        self.transport.abort()
+        reset(self.transport)
 
 
 class Door:
@@ -253,7 +251,6 @@
         self.doors = {agent: Door(self, agent) for agent in agents}
         self.vanished = False
         self.hung = False
-        self.dead = False
         self.cut: set[str] = set()  # agents whose link to it is cut
         self.answers = 0
         self.descriptions: dict[str, bytes] = {}  # the answer to each call
@@ -342,7 +339,6 @@
 
     def crash(self) -> None:
         """The process dies: its connections are reset, its calls cut, new connections refused."""
-        self.dead = True
         self._cut_calls()
         for door in self.doors.values():
             door.close()
@@ -352,7 +348,6 @@
 
     def restart(self) -> None:
         """A new process at the same address."""
-        self.dead = False
         for door in self.doors.values():
             door.open()
 
