--- a/review/parties.py
+++ b/review/parties.py
@@ -53,7 +53,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.started = time.monotonic()
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.file = (folder / "record.txt").open("w", encoding="utf-8", buffering=1)
 
     def now(self) -> float:
         return time.monotonic() - self.started
@@ -681,6 +681,9 @@
 
     async def run() -> int:
         tasks_before = asyncio.all_tasks()
+        this_task = asyncio.current_task()
+        if this_task is not None:  # ended from outside, it ends its processes all the same
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 return await play(record, temporary, parties)
@@ -701,7 +704,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as problem:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as problem:
         record.add("case", f"can't run: {problem!r}")
         code = CANNOT_RUN
     finally:
