core/slots.py is core/handles.py: handle tables, without the unused limit

The field's word for a numbered table of connections or requests is a handle table. Slots(limit) had no caller left. No behaviour changes: handles are still given again, the one removed last first.

--- a/frostport/core/broker.py
+++ b/frostport/core/broker.py
@@ -17,11 +17,11 @@
 from frostport.core.clock import Clock
 from frostport.core.contracts import Budgets
 from frostport.core.deadlines import Deadlines
+from frostport.core.handles import HandleTable
 from frostport.core.metrics import Metrics
 from frostport.core.recorder import Recorder
 from frostport.core.rotation import Rotation
 from frostport.core.rules import UNCLEAN_OUTCOMES, Rules
-from frostport.core.slots import Slots
 from frostport.interface import Outcome
 
 log = logging.getLogger("frostport.broker")
@@ -91,8 +91,8 @@
         self.rotation = Rotation()
         self.send_to_peer: Callable[[int, bytes], None] = lambda peer, data: None
         self.route: Route | None = None
-        self.requests: Slots[Request] = Slots()
-        self.slots_by_id: dict[str, int] = {}
+        self.requests: HandleTable[Request] = HandleTable()
+        self.handles_by_id: dict[str, int] = {}
         self.ended_ids: OrderedDict[str, tuple[float, float]] = OrderedDict()  # ended at, no retry before
         self.ending: dict[str, Request] = {}  # ended by their servers, the end not recorded yet
         self.open_count = 0
@@ -112,13 +112,13 @@
 
     def find_request(self, call: str) -> Request | None:
         """Returns the request of this id that is open or whose call is established."""
-        slot = self.slots_by_id.get(call)
-        return None if slot is None else self.requests.get(slot)
+        handle = self.handles_by_id.get(call)
+        return None if handle is None else self.requests.get(handle)
 
     def request_arrived(self, request: Request, event: api.CallArrived) -> None:
         """Takes a new request; its id must not belong to an open request or an established call."""
-        request.slot = self.requests.add(request)
-        self.slots_by_id[request.id] = request.slot
+        request.handle = self.requests.add(request)
+        self.handles_by_id[request.id] = request.handle
         _, request.not_before = self.ended_ids.pop(request.id, (0.0, 0.0))
         self._guard_other_process(request)
         self.open_count += 1
@@ -609,14 +609,14 @@
             self.on_idle()
 
     def _close_request(self, request: Request) -> None:
-        """Ends a request: frees its slot, and keeps its id for releases that are still in transit."""
+        """Ends a request: removes it, and keeps its id for releases that are still in transit."""
         if request.state is State.OPEN:
             request.state = State.ENDED
             self._count_answered(request)
         request.state = State.ENDED
         self.metrics.request_ended()  # the gauge of current requests includes established calls
-        self.requests.free(request.slot)
-        del self.slots_by_id[request.id]
+        self.requests.remove(request.handle)
+        del self.handles_by_id[request.id]
         self._remember_ended(request.id, request.not_before)
 
     def _remember_ended(self, call: str, not_before: float) -> None:
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -38,7 +38,7 @@
     front: Front
     connection_id: int  # the front's number of the connection it came on; -1: none
     team: str = "-"
-    slot: int = -1  # its number in `Broker.requests`
+    handle: int = -1  # its handle in `Broker.requests`
     state: State = State.OPEN
     attempts: int = 0  # how many attempts have been made
     attempt: Attempt | None = None  # the pending one, or the one that established the call
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -16,8 +16,8 @@
 from frostport.admission.gate import Admission, Gate
 from frostport.core.broker import Broker
 from frostport.core.calls import Body, RecordedAnswer, Request, State, held_until
+from frostport.core.handles import HandleTable
 from frostport.core.lifecycle import Lifecycle
-from frostport.core.slots import Slots
 from frostport.diameter import avp
 from frostport.diameter.avp import Avp, Message, make
 from frostport.diameter.peer import DiameterNode, Identity, Peer, PeerConnection
@@ -116,7 +116,7 @@
         self.longest_deadline_ms = max(
             (call_class.deadline_ms for call_class in broker.rules.settings.classes), default=0.0
         )
-        self.accepted_connections: Slots[PeerConnection] = Slots()
+        self.accepted_connections: HandleTable[PeerConnection] = HandleTable()
         for host in clients:
             self.add_peer(Peer(host))
 
@@ -129,7 +129,7 @@
         if verdict.admission is None:
             return None
         connection = self.make_connection()
-        connection.accepted_slot = self.accepted_connections.add(connection)
+        connection.accepted_handle = self.accepted_connections.add(connection)
         connection.admission = verdict.admission
         self.connections_by_admission[verdict.admission.number] = connection
         return connection
@@ -161,9 +161,9 @@
         return False
 
     def on_close(self, connection: PeerConnection) -> None:
-        if connection.accepted_slot >= 0:
-            self.accepted_connections.free(connection.accepted_slot)
-            connection.accepted_slot = -1
+        if connection.accepted_handle >= 0:
+            self.accepted_connections.remove(connection.accepted_handle)
+            connection.accepted_handle = -1
         if connection.admission is not None:
             del self.connections_by_admission[connection.admission.number]
             self.gate.remove(connection.admission)
@@ -268,7 +268,7 @@
             service_avps(message),
             self.clock.now() + remaining_ms,
             self,
-            connection.slot,
+            connection.handle,
             connection.realm,
             client=connection.host,
             end_to_end_id=message.end_to_end,
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -22,8 +22,8 @@
 from frostport.admission.gate import Admission
 from frostport.core.clock import Clock
 from frostport.core.deadlines import Deadline, Deadlines
+from frostport.core.handles import HandleTable
 from frostport.core.rate_limited_log import RateLimitedLog
-from frostport.core.slots import Slots
 from frostport.diameter import avp
 from frostport.diameter.avp import Avp, AvpError, Message, MessageSplitter, StreamError, make
 from frostport.diameter.watchdog import Watchdog, WatchdogState
@@ -142,7 +142,7 @@
         self.realm = ""
         self.state_id: int | None = None  # the peer's Origin-State-Id
         self.process_since_ms = 0.0  # the peer's process is known to be the same since then, ms
-        self.slot = self.accepted_slot = -1  # among open connections, among accepted ones; -1: none
+        self.handle = self.accepted_handle = -1  # among open connections, among accepted ones; -1: none
         self.admission: Admission | None = None  # of an accepted connection
         self.released: Callable[[], None] = lambda: None  # called when its descriptor is free
         self._splitter = MessageSplitter()
@@ -487,7 +487,7 @@
         self.deadlines = deadlines
         self.interval_ms = interval_ms
         self.rng = rng
-        self.connections: Slots[PeerConnection] = Slots()
+        self.connections: HandleTable[PeerConnection] = HandleTable()
         self.peers: dict[str, Peer] = {}
         self._last_id = rng.getrandbits(32)
 
@@ -538,7 +538,7 @@
             old = peer.connection
             self.on_close(old)
             old.drop()
-        connection.slot = self.connections.add(connection)
+        connection.handle = self.connections.add(connection)
         peer.connection = connection
         peer.watchdog.connection_up()
 
@@ -553,7 +553,7 @@
             return
         peer.connection = None
         self.connection_lost(peer, connection)
-        self.connections.free(connection.slot)
+        self.connections.remove(connection.handle)
         peer.watchdog.connection_down()
 
     def connection_lost(self, peer: Peer, connection: PeerConnection) -> None:
--- a/frostport/durability.py
+++ b/frostport/durability.py
@@ -225,5 +225,5 @@
     request.recorded_answer = recovery.recorded_answer(record)
     request.attempts = 1
     request.attempt = Attempt(request, 0, record.server, record.at, record.at, pending=False)
-    request.slot = agent.broker.requests.add(request)
-    agent.broker.slots_by_id[call] = request.slot
+    request.handle = agent.broker.requests.add(request)
+    agent.broker.handles_by_id[call] = request.handle
--- a/frostport/handover.py
+++ b/frostport/handover.py
@@ -215,7 +215,7 @@
                     self.adopted.discard(call)
                     if request is not None and request.state is CallState.ESTABLISHED:
                         broker.ended_elsewhere(request)
-                if isinstance(record, Over) and call not in broker.slots_by_id:
+                if isinstance(record, Over) and call not in broker.handles_by_id:
                     broker.ended_ids[call] = (self.agent.clock.now(), record.not_before)
 
     # Once the predecessor has ended
@@ -263,12 +263,12 @@
             call = records.split_key(key)[1].rpartition(records.KEY_SEPARATOR)[2]
             if key.startswith((records.OWED, records.RELEASE)) or (
                 key.startswith(CALL)
-                and (call in self.pending_in_predecessor or call not in broker.slots_by_id)
+                and (call in self.pending_in_predecessor or call not in broker.handles_by_id)
             ):
                 unfinished[key] = value
         restored = recovery.restore(unfinished, now, agent.rules.settings.release_guard_ms)
         for call, over in restored.over.items():
-            if call not in broker.slots_by_id:
+            if call not in broker.handles_by_id:
                 guard = broker.ended_ids.get(call, (0.0, 0.0))[1]
                 broker.ended_ids[call] = (over.at, max(over.not_before, guard))
         for call in self.pending_in_predecessor:
--- a/frostport/net/connection_lag.py
+++ b/frostport/net/connection_lag.py
@@ -51,7 +51,7 @@
                 log.info(
                     "%s: nothing received on connection %d since its test %.0f ms ago: giving it up",
                     self._server.host,
-                    connection.slot,
+                    connection.handle,
                     REPORT_SKEW_MS,
                 )
                 connection.abandon()
@@ -89,7 +89,7 @@
                 log.info(
                     "%s: connection %d has fallen silent, %.0f ms behind the others",
                     self._server.host,
-                    connection.slot,
+                    connection.handle,
                     now - connection.lagging_since,
                 )
                 connection.abandon()
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -17,8 +17,8 @@
 from frostport.core.broker import Broker
 from frostport.core.calls import Body, RecordedAnswer, Request, State, held_until
 from frostport.core.deadlines import Deadline
+from frostport.core.handles import HandleTable
 from frostport.core.lifecycle import Lifecycle
-from frostport.core.slots import Slots
 from frostport.interface import Outcome
 from frostport.net import jsonl
 from frostport.net.jsonl import BadLineError, LineConnection, Message
@@ -48,7 +48,7 @@
 
     cause: int
     since_ms: float
-    slot: int  # the connection that it was last sent on; -1: none
+    handle: int  # of the connection that it was last sent on; -1: none
     host: str  # the address of the client that set the call up
     sent_at_ms: float = 0.0
     # The recorded answer to the set-up, if the client may have missed it.
@@ -71,7 +71,7 @@
         self.front = front
         self.admission = admission
         self.in_use = False  # as last reported to the gate
-        self.slot = -1
+        self.handle = -1
         self.host = ""
         self.open_set_ups: dict[str, Request] = {}
         self.last_received_at = 0.0  # when the last complete line arrived
@@ -86,8 +86,8 @@
 
     def on_open(self) -> None:
         """Registers the connection, and limits the time for its first complete line."""
-        self.slot = self.front.connections.add(self)
-        self.peer = f"client connection {self.slot}"
+        self.handle = self.front.connections.add(self)
+        self.peer = f"client connection {self.handle}"
         self.host = str(getattr(self.transport.getPeer(), "host", ""))
         self.front.connections_by_admission[self.admission.number] = self
         self.last_received_at = self.clock.now()
@@ -312,7 +312,7 @@
         self.broker = broker
         self.lifecycle = lifecycle
         self.gate = gate
-        self.connections: Slots[ClientConnection] = Slots()
+        self.connections: HandleTable[ClientConnection] = HandleTable()
         self.connections_by_admission: dict[int, ClientConnection] = {}
         self.pending_releases: dict[str, PendingRelease] = {}
         self.failed_ids: dict[str, float] = {}  # ended without their answer sent; id -> when, ms
@@ -438,7 +438,7 @@
             message.blob,
             broker.clock.now() + left_ms,
             self,
-            connection.slot,
+            connection.handle,
             team,
             client=connection.host,
         )
@@ -467,7 +467,7 @@
             connection.peer,
             f"set-up {known.id}: its id is in use by an earlier call; closing the connection",
         )
-        if known.front is not self or known.connection_id != connection.slot:
+        if known.front is not self or known.connection_id != connection.handle:
             connection.send_message(Message("FINISH", known.id, rc=jsonl.OVERLOADED))
         elif known.state is State.OPEN:
             self.broker.fail(known)
@@ -485,7 +485,7 @@
             or not is_repeat(message, known.recorded_answer, connection)
         ):
             return False
-        known.connection_id = connection.slot
+        known.connection_id = connection.handle
         connection.established_calls.add(known.id)
         self._send_answer(connection, known.id, known.recorded_answer)
         return True
@@ -570,9 +570,9 @@
 
     def connection_lost(self, connection: ClientConnection) -> None:
         """Gives up the open set-ups of a closed connection; its unconfirmed releases go to another one."""
-        if self.connections.get(connection.slot) is not connection:
+        if self.connections.get(connection.handle) is not connection:
             return  # evicted by the gate, and already handled
-        self.connections.free(connection.slot)
+        self.connections.remove(connection.handle)
         del self.connections_by_admission[connection.admission.number]
         self.gate.remove(connection.admission)
         opened = list(connection.open_set_ups.values())
@@ -583,7 +583,7 @@
             else:
                 self.broker.release(request)  # answered, but the answer is still being recorded
         for tag in connection.unconfirmed_releases:
-            self.pending_releases[tag].slot = -1
+            self.pending_releases[tag].handle = -1
         connection.unconfirmed_releases.clear()
         self.send_unsent_releases()
 
@@ -601,7 +601,7 @@
     def _remove_open(self, request: Request) -> ClientConnection | None:
         """Removes a set-up from the connection that waits for its answer; None if that one is closed.
 
-        Guards against a later connection in the same slot: the answer may have waited to be recorded."""
+        Guards against a later connection with the same handle: the answer may have waited to be recorded."""
         connection = self.connections.get(request.connection_id)
         if connection is None or connection.open_set_ups.get(request.id) is not request:
             return None
@@ -691,16 +691,16 @@
         chosen = connection or self.best_connection(release)
         release.sent_at_ms = now
         sent = chosen is not None and chosen.send_message(Message("FINISH", call, rc=release.cause))
-        self._assign_release(call, release, chosen.slot if sent and chosen is not None else -1)
+        self._assign_release(call, release, chosen.handle if sent and chosen is not None else -1)
 
-    def _assign_release(self, call: str, release: PendingRelease, slot: int) -> None:
-        """Records the connection on which a release was sent; slot -1 is none."""
-        before = self.connections.get(release.slot)
-        release.slot = slot
+    def _assign_release(self, call: str, release: PendingRelease, handle: int) -> None:
+        """Records the connection on which a release was sent; handle -1 is none."""
+        before = self.connections.get(release.handle)
+        release.handle = handle
         if before is not None:
             before.unconfirmed_releases.discard(call)
             before.update_in_use()
-        after = self.connections.get(slot)
+        after = self.connections.get(handle)
         if after is not None:
             after.unconfirmed_releases.add(call)
             after.update_in_use()
@@ -715,7 +715,7 @@
             usable,
             key=lambda conn: (
                 conn.trusted,
-                conn.slot != release.slot,
+                conn.handle != release.handle,
                 conn.host == release.host,
                 conn.last_received_at,
             ),
@@ -727,7 +727,7 @@
         for call in [
             call
             for call, release in self.pending_releases.items()
-            if release.slot < 0 and not release.hold_until_ms
+            if release.handle < 0 and not release.hold_until_ms
         ]:
             self._send_release(call, None)
 
@@ -749,7 +749,7 @@
             call
             for call, release in self.pending_releases.items()
             if now - release.since_ms
-            >= (UNSENT_RELEASE_KEEP_MS if release.slot < 0 else RELEASE_RETRY_WINDOW_MS)
+            >= (UNSENT_RELEASE_KEEP_MS if release.handle < 0 else RELEASE_RETRY_WINDOW_MS)
         ]:
             self._settle_release(call)
         for call, release in self.pending_releases.items():
--- a/frostport/net/upstream.py
+++ b/frostport/net/upstream.py
@@ -188,7 +188,7 @@
         self.broker.metrics.set_avoided(self.host, "connection", False)
         self.pool.dialing.connected(self.host)
         connection.opened_at = connection.last_received_at = connection.reported_at = self.pool.clock.now()
-        connection.slot = self.pool.connections.add(connection)
+        connection.handle = self.pool.connections.add(connection)
         self.connections.append(connection)
         self.replacing = False
         self.redial_pause_ms = REDIAL_MS
@@ -262,7 +262,7 @@
     def _take_out_of_use(self, connection: ServerConnection) -> dict[str, Attempt]:
         """Removes a connection from use; returns its open attempts by call."""
         self.connections.remove(connection)
-        self.pool.connections.free(connection.slot)
+        self.pool.connections.remove(connection.handle)
         attempts, connection.open_attempts = connection.open_attempts, {}
         return attempts
 
@@ -299,7 +299,7 @@
     def sign_of_life(self, connection: ServerConnection) -> None:
         """Called when data was read, or a connection opened to a server that sends no report first."""
         if self.liveness.data_received(connection.last_received_at, connection.opened_at):
-            log.info("%s: liveness: suspected -> alive, heard on connection %d", self.host, connection.slot)
+            log.info("%s: liveness: suspected -> alive, heard on connection %d", self.host, connection.handle)
             if self.replacing:
                 self.connect()  # the server repeats there what was lost: no need to wait for the timer
         if connection.retired and connection is self.retired:
@@ -308,7 +308,7 @@
     def _return_to_use(self, connection: ServerConnection) -> None:
         self.retired = None
         connection.retired = False
-        connection.slot = self.pool.connections.add(connection)
+        connection.handle = self.pool.connections.add(connection)
         self.connections.append(connection)
 
     def check_liveness(self, now_ms: float) -> None:
@@ -421,7 +421,7 @@
         # Avoids the last attempt's connection: a second copy of its answer may arrive there.
         chosen = min(
             self.connections,
-            key=lambda conn: (len(conn.open_attempts) + (conn.slot == last_connection_id), conn.opened_at),
+            key=lambda conn: (len(conn.open_attempts) + (conn.handle == last_connection_id), conn.opened_at),
         )
         if (
             chosen.open_attempts
@@ -433,7 +433,7 @@
         opts = {"class": request.call_class, "left": str(left)}
         if request.key:
             opts["key"] = request.key
-        request.last_connection_id = chosen.slot
+        request.last_connection_id = chosen.handle
         if chosen.send_set_up(
             attempt, Message("START", request.id, opts, blob=str(request.description)).encode()
         ):
@@ -544,7 +544,7 @@
                 self.broker.attempt_ended(request.attempt, call_outcome, report=self.report_values(message))
             elif (
                 request.attempt.pending
-                and request.attempt.route_ref not in (None, connection.slot)
+                and request.attempt.route_ref not in (None, connection.handle)
                 and message.rc == jsonl.NORMAL
             ):
                 # A server also sends the end on its next new connection, where it may be read before the
--- a/frostport/net/upstream_connection.py
+++ b/frostport/net/upstream_connection.py
@@ -28,7 +28,7 @@
     def __init__(self, server: UpstreamServer) -> None:
         super().__init__(server.pool.clock, server.pool.deadlines)
         self.server = server
-        self.slot = -1
+        self.handle = -1
         self.opened_at = math.inf
         self.peer = server.host
         self.open_attempts: dict[str, Attempt] = {}
@@ -92,7 +92,7 @@
 
     def send_set_up(self, attempt: Attempt, line: bytes) -> bool:
         """Writes the set-up of an attempt; False if the connection is closed."""
-        attempt.route_ref = self.slot
+        attempt.route_ref = self.handle
         self.open_attempts[attempt.request.id] = attempt
         self.sent_at_read[attempt.request.id] = self.read_count
         return self.write(line)
--- a/frostport/net/upstream_pool.py
+++ b/frostport/net/upstream_pool.py
@@ -7,8 +7,8 @@
 from frostport.core.broker import Broker
 from frostport.core.calls import Attempt, Front
 from frostport.core.dial_policy import DIAL_AT_ONCE, DialPolicy
+from frostport.core.handles import HandleTable
 from frostport.core.liveness_sweep import LivenessSweep
-from frostport.core.slots import Slots
 from frostport.interface import Outcome
 from frostport.net import jsonl
 from frostport.net.upstream import MAX_CONNECTIONS, Connect, UpstreamServer
@@ -25,7 +25,7 @@
         self.connect_timeout_ms = connect_timeout_ms
         self.clock = broker.clock
         self.deadlines = broker.deadlines
-        self.connections: Slots[ServerConnection] = Slots()
+        self.connections: HandleTable[ServerConnection] = HandleTable()
         self.servers: dict[str, UpstreamServer] = {}
         self.dialing: DialPolicy = DIAL_AT_ONCE
         # Called with the number of connections that all servers together may open.
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -451,8 +451,8 @@
             raise AssertionError(f"step {number}: {line}: {problem}") from None
     if "expect agent stopped" not in script:
         assert played.agent.rules.violations.total() == 0
-    slots = {request.slot for request in played.agent.broker.requests}
-    assert slots == set(played.agent.broker.slots_by_id.values())
+    handles = {request.handle for request in played.agent.broker.requests}
+    assert handles == set(played.agent.broker.handles_by_id.values())
     return played
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -841,7 +841,7 @@
     assert set(module.controls) == names and not module.calls and not module.held
     assert all(control.pending == 0 for control in module.controls.values())
     assert (
-        not agent.broker.slots_by_id and not len(agent.broker.requests) and len(agent.broker.ended_ids) == 1
+        not agent.broker.handles_by_id and not len(agent.broker.requests) and len(agent.broker.ended_ids) == 1
     )
     assert not side.front.pending_releases and len(side.front.connections) == 1
     assert len(side.route.connections) == sum(len(lobby.connections) for lobby in side.route.servers.values())
