Diameter: a client that does not know a session leaves its end to the others

The first ASA of any of them settled it, also one with 5002 (unknown session); a peer whose connection broke before its answer was never told again. Read in the review, not run there.

Change: where the client is not known, 5002 settles nothing; the ASR goes again to a peer that connects, for 60 s as before, and to that peer alone (it went to all of them once more). A known client confirms with any Result-Code, as before. Pending releases are a dataclass in place of a tuple.

Measured: the scenario "after a restart, an end is due until the client that knows its session answers" failed before ("c2 received nothing, not ASR a") and passes.

--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -81,6 +81,14 @@
     release_held: bool = False  # the ASR is held back, so that a duplicate gets the answer first
 
 
+@dataclass(frozen=True, slots=True)
+class PendingRelease:
+    """The release of a call, to be sent as an ASR until its client confirms it."""
+
+    client: str  # "" if it is not known: all client peers get the ASR
+    outcome: Outcome
+
+
 class DiameterFront(DiameterNode):
     """The broker's `Front` for client peers. It answers each credit-control request once.
 
@@ -108,8 +116,7 @@
         self.closed_by_peer = closed_by_peer
         self.connections_by_admission: dict[int, PeerConnection] = {}
         self.sessions: dict[str, Session] = {}
-        # Unconfirmed releases: call -> (client, outcome); the client is "" if it is not known.
-        self.pending_releases: dict[str, tuple[str, Outcome]] = {}
+        self.pending_releases: dict[str, PendingRelease] = {}  # not confirmed yet, by call
         self.aborts_sent: dict[int, str] = {}  # Hop-by-Hop Identifier of an unanswered ASR -> call
         # OC-Sequence-Number; begins with the time in ms, above those sent before a restart
         self.overload_sequence = int(broker.clock.now())
@@ -321,8 +328,15 @@
         self.broker.recorder.barrier(lambda: self._send_answer(connection, message, avp.SUCCESS, []))
 
     def handle_answer(self, connection: PeerConnection, message: Message) -> None:
-        """Handles an ASA. Any Result-Code confirms the release: the client has received the ASR."""
-        self._settle_release(self.aborts_sent.pop(message.hop_by_hop, ""))
+        """Handles an ASA. It confirms the release, with any Result-Code if it comes from the call's client.
+
+        Where the client is not known, one that doesn't know the session leaves the release to the others."""
+        call = self.aborts_sent.pop(message.hop_by_hop, "")
+        release = self.pending_releases.get(call)
+        is_foreign = message.get(avp.RESULT_CODE) == avp.UNKNOWN_SESSION_ID
+        if release is not None and not release.client and is_foreign:
+            return
+        self._settle_release(call)
 
     def _settle_release(self, call: str) -> None:
         """Forgets a pending release that is confirmed or has expired; does nothing if there is none."""
@@ -342,17 +356,17 @@
             if limit_reached is not None:
                 connection.disconnect(avp.BUSY)
                 return
-        for call, (client, outcome) in list(self.pending_releases.items()):
+        for call, release in list(self.pending_releases.items()):
             session = self.sessions.get(call)
-            if client in ("", connection.host) and (session is None or not session.release_held):
-                self._send_abort(call, client, outcome)
+            if release.client in ("", connection.host) and (session is None or not session.release_held):
+                self._send_abort_on(connection, call, release)
 
     def connection_lost(self, peer: Peer, connection: PeerConnection) -> None:
         """Gives up the set-ups that wait for their answer on this connection only."""
         self.aborts_sent = {
             hop_by_hop: call
             for hop_by_hop, call in self.aborts_sent.items()
-            if self.pending_releases.get(call, (peer.host,))[0] != peer.host
+            if call in self.pending_releases and self.pending_releases[call].client != peer.host
         }
         for session_id, session in list(self.sessions.items()):
             if session.answer is None:
@@ -415,9 +429,10 @@
             client = session.client
         now = self.clock.now()
         self._schedule_removal(call)
-        self._add_release(call, client, outcome, now)
+        release = PendingRelease(client, outcome)
+        self._add_release(call, release, now)
         if session is None or not self._hold_release(call, session, recorded_answer, now):
-            self._send_abort(call, client, outcome)
+            self._send_abort(call, release)
 
     def _hold_release(
         self, call: str, session: Session, recorded_answer: RecordedAnswer | None, now: float
@@ -451,10 +466,10 @@
         """Sends the release that was held back."""
         session.release_held = False
         if (release := self.pending_releases.get(call)) is not None:
-            self._send_abort(call, *release)
+            self._send_abort(call, release)
 
-    def _add_release(self, call: str, client: str, outcome: Outcome, since: float) -> None:
-        self.pending_releases[call] = (client, outcome)
+    def _add_release(self, call: str, release: PendingRelease, since: float) -> None:
+        self.pending_releases[call] = release
         self.deadlines.set(since + RELEASE_KEEP_MS, lambda: self._expire_release(call))
 
     def resume(
@@ -468,7 +483,7 @@
         `recorded_answer_of` returns the recorded answer of a call. The sessions must have been restored."""
         now = self.clock.now()
         for call, (client, outcome, since) in releases.items():
-            self._add_release(call, client, outcome, since)
+            self._add_release(call, PendingRelease(client, outcome), since)
             if (session := self.sessions.get(call)) is not None:
                 self._hold_release(call, session, recorded_answer_of(call), now)
 
@@ -534,24 +549,29 @@
         application = make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL)
         connection.reply(message, result, [application, *echoed, *avps], error)
 
-    def _send_abort(self, call: str, client: str, outcome: Outcome) -> None:
+    def _send_abort(self, call: str, release: PendingRelease) -> None:
         """Sends the release of a call as an ASR. A client that isn't connected gets it once it connects.
 
         Without a known client, all client peers get it."""
-        cause = avp.LOGOUT if outcome is Outcome.OK else avp.ADMINISTRATIVE
         for peer in self.peers.values():
             connection = peer.open_connection()
-            if connection is not None and client in ("", peer.host):
-                hop_by_hop = connection.send_request(
-                    avp.AS,
-                    [
-                        make(avp.SESSION_ID, call),
-                        *self.identity.avps(),
-                        make(avp.DESTINATION_REALM, connection.realm),
-                        make(avp.DESTINATION_HOST, peer.host),
-                        make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
-                        make(avp.TERMINATION_CAUSE, cause),
-                    ],
-                    avp.CREDIT_CONTROL,
-                )
-                self.aborts_sent[hop_by_hop] = call
+            if connection is not None and release.client in ("", peer.host):
+                self._send_abort_on(connection, call, release)
+
+    def _send_abort_on(self, connection: PeerConnection, call: str, release: PendingRelease) -> None:
+        hop_by_hop = connection.send_request(
+            avp.AS,
+            [
+                make(avp.SESSION_ID, call),
+                *self.identity.avps(),
+                make(avp.DESTINATION_REALM, connection.realm),
+                make(avp.DESTINATION_HOST, connection.host),
+                make(avp.AUTH_APPLICATION_ID, avp.CREDIT_CONTROL),
+                make(
+                    avp.TERMINATION_CAUSE,
+                    avp.LOGOUT if release.outcome is Outcome.OK else avp.ADMINISTRATIVE,
+                ),
+            ],
+            avp.CREDIT_CONTROL,
+        )
+        self.aborts_sent[hop_by_hop] = call
