The event bus is heard on connections that are only late: silent ones stay open

Hypotheses: (1) the agent closes its connections before what was written on them arrives; (2) the event arrives and is not applied; (3) it is applied, and set-ups that waited go out after it. The case's record and the agent's log tell them apart: connections were closed after 2.2 s and then each 5.0 s after it had asked, the bus was asked 8 times in 18 s, and list version 2 never appears. (2) and (3) are out.

Cause: EventBus._on_silence took 2.5 s of silence for the death of a connection that had answered, and 5 s for that of one that had not.

Change: a silent connection stays open while others are asked: a second one after 2.5 s, then one more every 5 s, three in all; the first on which a line arrives is kept. The startup policy is told of the silence as before (list_silent; it was a lost connection). The guaranteed descriptors stay 2.

--- a/frostport/core/dial_policy.py
+++ b/frostport/core/dial_policy.py
@@ -35,6 +35,9 @@
     def connection_lost(self, target: str) -> None:
         """An established connection was lost."""
 
+    def list_silent(self) -> None:
+        """Nothing was heard of the list service for too long; its connections stay open, another is asked."""
+
     def list_unchanged(self) -> None:
         """The list service has reported that there is no new event."""
 
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -31,7 +31,13 @@
 CONNECT_TIMEOUT_MS = 1000.0
 ADDRESS_PATTERN = re.compile(r"[^:\s]+:[0-9]{1,5}\Z")
 MAX_LINE_BYTES = 1024 * 1024  # an event may carry the complete list
-SILENCE_TIMEOUT_MS = 2500.0  # without a complete line; one is due each second
+SILENCE_TIMEOUT_MS = (
+    2500.0  # without a complete line, then another connection is asked; one is due each second
+)
+ASK_AGAIN_MS = (
+    5000.0  # without an answer, then one more is asked; below the 7 s in which an event counts as told
+)
+MAX_CONNECTIONS = 3  # open at a time; the one that was asked first is given up for a further one
 
 
 class ServerList:
@@ -179,7 +185,10 @@
 
 
 class EventBus:
-    """Keeps one connection to the event bus, and asks on each new one for the events since the last."""
+    """Keeps a connection to the event bus, and asks on each new one for the events since the last.
+
+    A silent connection may only be late: it stays open while others are asked, up to MAX_CONNECTIONS in all,
+    and the first one on which a line arrives is the one that is kept."""
 
     def __init__(
         self,
@@ -194,12 +203,12 @@
         self.connect = connect
         self.clock = server_list.broker.clock
         self.deadlines = server_list.broker.deadlines
-        self.connection: BusConnection | None = None
-        # Has not answered the request yet and stays open, as it may still do so.
-        self.earlier_connection: BusConnection | None = None
+        self.connections: list[BusConnection] = []  # open, in the order in which they were asked
         self.dialing: DialPolicy = DIAL_AT_ONCE
-        self.pending_dial: defer.Deferred[object] | None = None
-        self._timer: Deadline | None = None  # for the next dial, or for silence
+        self._dialed: BusConnection | None = None  # the connection of the dial in progress
+        self._pending_dial: defer.Deferred[object] | None = None
+        self._dial_timer: Deadline | None = None  # for the next dial, or the end of the one in progress
+        self._silence_timer: Deadline | None = None
 
     def start(self) -> None:
         """Dials when `dialing` allows; with an infinite wait, `start_in` is called later."""
@@ -211,37 +220,58 @@
 
     def start_in(self, wait_ms: float) -> None:
         """Dials after `wait_ms`."""
-        self._set_timer(wait_ms, self._dial)
+        self._cancel_dial()
+        self._dial_timer = self.deadlines.set(self.clock.now() + wait_ms, self._dial)
 
     def _dial(self) -> None:
         if self.address is None:
             return
-        connection = self.connection = BusConnection(self)
-        dialing = self.pending_dial = self.connect(self.address, connection)
-        self._set_timer(CONNECT_TIMEOUT_MS, dialing.cancel)
+        self._cancel_dial()
+        if len(self.connections) >= MAX_CONNECTIONS:
+            self._drop(self.connections[0])
+        connection = BusConnection(self)
+        self._dialed = connection
+        dialing = self._pending_dial = self.connect(self.address, connection)
+        self._dial_timer = self.deadlines.set(self.clock.now() + CONNECT_TIMEOUT_MS, dialing.cancel)
 
         def failed(failure: Failure) -> None:
-            if self.connection is connection:
+            if self._dialed is connection:
                 self.dialing.dial_failed(LIST_SERVICE)
-                self._redial()
+                self._redial(REDIAL_MS)
 
         dialing.addErrback(failed)
 
-    def _redial(self) -> None:
-        pause_ms = REDIAL_MS * self.rng.uniform(0.5, 1.0)
-        self._set_timer(self.dialing.redial_delay_ms(LIST_SERVICE, pause_ms), self._dial)
+    def _redial(self, pause_ms: float) -> None:
+        """Dials after a pause of half of `pause_ms` to all of it, or when `dialing` allows."""
+        pause_ms *= self.rng.uniform(0.5, 1.0)
+        self.start_in(self.dialing.redial_delay_ms(LIST_SERVICE, pause_ms))
+
+    def _cancel_dial(self) -> None:
+        """Gives up the dial that is in progress or scheduled, if any."""
+        dialing = self._pending_dial
+        self._dialed = None
+        self._pending_dial = None
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+        if dialing is not None:
+            dialing.cancel()
+
+    def _is_dialing(self) -> bool:
+        """Whether a dial is in progress or scheduled."""
+        return self._dial_timer is not None and self._dial_timer.action is not None
 
     def disconnect(self) -> None:
         """Drops the connections and any dial in progress, until it is started again."""
-        old, self.connection = self.connection, None
-        dialing, self.pending_dial = self.pending_dial, None
-        self._drop_earlier()
-        if self._timer is not None:
-            self._timer.cancel()
-        if dialing is not None:
-            dialing.cancel()
-        if old is not None:
-            old.drop()
+        self._cancel_dial()
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        for connection in list(self.connections):
+            self._drop(connection)
+
+    def _drop(self, connection: BusConnection) -> None:
+        """Closes a connection on purpose: nothing is dialed in its place."""
+        self.connections.remove(connection)
+        connection.drop()
 
     def change_address(self, address: str | None) -> None:
         """Moves to a bus at another address, where the event numbers continue."""
@@ -254,65 +284,64 @@
         self.disconnect()
         self.start()
 
-    def _set_timer(self, ms: float, action: Callable[[], None]) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self.deadlines.set(self.clock.now() + ms, action)
-
     def on_connected(self, connection: BusConnection) -> None:
         """Asks on a new connection for the events after the last one applied."""
-        if connection is not self.connection:
+        if connection is not self._dialed:
             connection.drop()  # its dial had been given up
             return
+        self._dialed = None
+        self._pending_dial = None
+        if self._dial_timer is not None:
+            self._dial_timer.cancel()
+        self.connections.append(connection)
         connection.write(b"from %d\n" % self.server_list.offset)
         self.dialing.connected(LIST_SERVICE)
-        self.on_line_received(connection)
+        self._watch_for_silence(SILENCE_TIMEOUT_MS if len(self.connections) == 1 else ASK_AGAIN_MS)
 
     def on_line_received(self, connection: BusConnection) -> None:
-        """Restarts the silence timer; called for each line and when a connection opens."""
-        if connection is self.earlier_connection:
-            self._keep_earlier(connection)
-        if connection is self.connection:
-            self._set_timer(SILENCE_TIMEOUT_MS, self._on_silence)
-
-    def _on_silence(self) -> None:
-        """Handles a silent connection; one that has never answered stays open while another is asked.
-
-        Guards against a bus that is slower to answer than the timeout: each connection would be given up
-        before its answer."""
-        connection = self.connection
-        if connection is None:
+        """Keeps the connection on which a line has arrived, and drops the others."""
+        if connection not in self.connections:
             return
-        if connection.answered:
-            connection.drop()
-            return
-        log.info("event bus: no answer for %.0f ms, asking on another connection", SILENCE_TIMEOUT_MS)
-        self._drop_earlier()
-        self.earlier_connection = connection
-        self._dial()
-
-    def _keep_earlier(self, connection: BusConnection) -> None:
-        """Returns to the connection that was asked first, as it has answered; drops the other."""
-        later = self.connection
-        dialing = self.pending_dial
-        self.connection = connection
-        self.earlier_connection = None
-        self.pending_dial = None
-        if dialing is not None:
-            dialing.cancel()
-        if later is not None:
-            later.drop()
+        if len(self.connections) > 1 or self._is_dialing():
+            log.info("event bus: heard again, %d connections asked meanwhile", len(self.connections) - 1)
+            self._cancel_dial()
+            for other in [other for other in self.connections if other is not connection]:
+                self._drop(other)
+            self.dialing.connected(LIST_SERVICE)
+        self._watch_for_silence(SILENCE_TIMEOUT_MS)
+
+    def _watch_for_silence(self, limit_ms: float) -> None:
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        self._silence_timer = self.deadlines.set(
+            self.clock.now() + limit_ms, lambda: self._on_silence(limit_ms)
+        )
 
-    def _drop_earlier(self) -> None:
-        earlier, self.earlier_connection = self.earlier_connection, None
-        if earlier is not None:
-            earlier.drop()
+    def _on_silence(self, silent_ms: float) -> None:
+        """Asks on another connection, and keeps the silent ones.
+
+        Guards against a bus that is slower than the timeout: each connection would be given up before its
+        answer, or before the next line on one that has answered."""
+        if not self.connections or self._is_dialing():
+            return
+        log.warning(
+            "event bus: nothing heard for %.0f ms on %d connections, asking on another one",
+            silent_ms,
+            len(self.connections),
+        )
+        # Agents that were answered lose the bus at the same time: they don't all ask again at once.
+        pause_ms = REDIAL_MS if self.connections[-1].answered else 0.0
+        self.dialing.list_silent()
+        if self.connections:  # else the policy has had it disconnected
+            self._redial(pause_ms)
 
     def on_lost(self, connection: BusConnection) -> None:
-        """Dials again when the connection in use is lost."""
-        if connection is self.earlier_connection:
-            self.earlier_connection = None
-        if connection is self.connection:
+        """Dials again when the connection that was asked last is lost."""
+        if connection not in self.connections:
+            return
+        is_last_asked = connection is self.connections[-1]
+        self.connections.remove(connection)
+        if is_last_asked and not self._is_dialing():
             log.warning("event bus: connection lost, continuing from event %d", self.server_list.offset)
             self.dialing.connection_lost(LIST_SERVICE)
-            self._redial()
+            self._redial(REDIAL_MS)
--- a/frostport/platform_side.py
+++ b/frostport/platform_side.py
@@ -57,7 +57,7 @@
         )
         agent.broker.route = self.route
         guaranteed = agent.gate.descriptors.guaranteed
-        guaranteed[Owner.BUS] = 2 if config.bus else 0  # the current connection, and the one that it moves to
+        guaranteed[Owner.BUS] = 2 if config.bus else 0  # one that may be late, and one that is asked
         self.route.on_connection_limit = partial(guaranteed.__setitem__, Owner.SERVERS)
         self.server_list = ServerList(agent.broker, self.route)
         self.bus = EventBus(self.server_list, config.bus, agent.connect, random.Random(config.seed))
--- a/frostport/startup_coordinator.py
+++ b/frostport/startup_coordinator.py
@@ -305,6 +305,9 @@
         if target == LIST_SERVICE:
             self._handle_feed_event(feeding.ServiceDisconnected())
 
+    def list_silent(self) -> None:
+        self._handle_feed_event(feeding.ServiceDisconnected())
+
     def list_unchanged(self) -> None:
         self._handle_feed_event(feeding.ServiceDataReceived())
 
--- a/tests/test_quiet_list.py
+++ b/tests/test_quiet_list.py
@@ -7,7 +7,7 @@
 import pytest
 
 from frostport.admission.resources import Owner
-from tests.scenario import World, event, host, lines, platform
+from tests.scenario import Wire, World, event, host, lines, platform
 
 
 class DeadBus(World):
@@ -110,6 +110,92 @@
     assert world.agent.gate.descriptors.open[Owner.BUS] == 1
 
 
+class LateBus(World):
+    """A world whose event bus takes in all at once; what it writes arrives `delay_ms` later, in order."""
+
+    delay_ms = 0.0
+
+    def begin(self) -> None:
+        self.late: list[tuple[float, Wire, bytes]] = []  # when it arrives, where, what
+        self.muted: list[Wire] = []  # open connections on which it writes nothing more
+        self.asked_ms: list[float] = []
+        self.closed_ms: list[float] = []
+        super().begin()
+
+    def write(self, wire: Wire, line: str) -> None:
+        """The bus writes a line on one of its connections."""
+        if wire not in self.muted:
+            self.late.append((self.clock.now() + self.delay_ms, wire, line.encode() + b"\n"))
+
+    def run_bus(self, script: dict[int, str], until_ms: int) -> None:
+        """Runs the bus by 100 ms: it answers each request, and writes the last number every second.
+
+        `script` has events by the time at which they are published, ms."""
+        bus = self.actors["bus"]
+        events = ["1"]
+        known: dict[Wire, int] = {}
+        for at in range(0, until_ms, 100):
+            if at in script:
+                events.append(script[at])
+            for received in bus.inbox:
+                (self.closed_ms if received[""] == "closed" else self.asked_ms).append(at)
+            bus.inbox.clear()
+            for wire in bus.wires:
+                if wire not in known or len(events) > known[wire] or at % 1000 == 0:
+                    for line in events[known.get(wire, 1) :]:
+                        self.write(wire, line)
+                    self.write(wire, str(len(events)))
+                    known[wire] = len(events)
+            while self.late and self.late[0][0] <= self.clock.now():
+                _, wire, data = self.late.pop(0)
+                wire.write(data)
+            self.settle()
+            self.wait(100.0)
+
+
+DRAINED = 300  # when the drain is published, ms after the list service began to run behind
+
+
+@pytest.mark.parametrize("behind_ms", [3100.0, 6000.0, 7000.0, 8300.0, 11_000.0])
+def test_a_list_service_that_runs_behind_is_heard_as_late_as_it_runs(behind_ms: float) -> None:
+    # Guards against connections given up before what was written on them arrives: a drain was never heard.
+    world = LateBus(platform())
+    world.run_bus({}, 3000)
+    world.delay_ms = behind_ms
+    drained_at = world.clock.now() + DRAINED
+    world.run_bus({DRAINED: event(2, host(0, "draining"))}, 26_000)
+    assert world.agent.rules.servers["h0"].closed_since_ms is not None
+    heard_after = world.agent.rules.servers["h0"].closed_since_ms - drained_at
+    assert heard_after <= behind_ms + 200.0
+    assert len(world.asked_ms) <= 4, "a crowded service is asked again no more than it must be"
+    assert world.agent.gate.descriptors.open[Owner.BUS] == 1
+
+
+def test_a_connection_that_falls_silent_for_good_gives_way_to_one_that_answers() -> None:
+    world = LateBus(platform())
+    world.run_bus({}, 3000)
+    silent = world.actors["bus"].wires[0]
+    world.muted.append(silent)
+    drained_at = world.clock.now() + DRAINED
+    world.run_bus({DRAINED: event(2, host(0, "draining"))}, 4000)
+    closed_since = world.agent.rules.servers["h0"].closed_since_ms
+    assert closed_since is not None and closed_since - drained_at <= 2800.0
+    assert not silent.open and world.agent.gate.descriptors.open[Owner.BUS] == 1
+
+
+def test_a_list_service_that_never_answers_is_asked_every_5_s_on_three_connections_at_most() -> None:
+    # Guards against a connection of which nothing is heard being kept, or asked again, without a bound.
+    world = LateBus(platform())
+    world.delay_ms = 1e9
+    most_open = 0
+    for _ in range(400):
+        world.run_bus({}, 100)
+        most_open = max(most_open, world.agent.gate.descriptors.open[Owner.BUS])
+    assert most_open == 3
+    assert len(world.actors["bus"].wires) == 3
+    assert len(world.asked_ms) == 9  # at 0, 2.5, 7.5, ... 37.5 s
+
+
 def test_agents_that_lose_one_bus_together_dial_it_apart() -> None:
     after: list[float] = []
     for seed in range(16):
