--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -9,7 +9,7 @@
 import math
 import re
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from frostport import interface as api
 from frostport.admission.gate import Admission, Gate
@@ -609,11 +609,3 @@
         self.releases.add(call, client, outcome, connection, missed_answer, restarted=connection_id < 0)
         if answered_on is not None:
             answered_on.close_if_idle()
-
-    def resume(
-        self,
-        releases: Mapping[str, tuple[str, Outcome, float]],
-        recorded_answer_of: Callable[[str], RecordedAnswer | None],
-    ) -> None:
-        """Takes over releases from before a restart or handover; see `ClientReleases.resume`."""
-        self.releases.resume(releases, recorded_answer_of)
--- a/frostport/platform_side.py
+++ b/frostport/platform_side.py
@@ -91,7 +91,7 @@
                 restored.version,
                 [(server, dial) for server, dial, _ in restored.servers.values() if dial],
             )
-        self.front.resume(restored.pending_ends, restored.recorded_answer)
+        self.front.releases.resume(restored.pending_ends, restored.recorded_answer)
 
     def restore_pending_releases(self, restored: Restored) -> None:
         """Restores the pending releases to servers; called once the servers are known."""
@@ -102,7 +102,7 @@
 
     def restore_from_predecessor(self, restored: Restored) -> None:
         """Takes over the pending releases of the predecessor; called while serving."""
-        self.front.resume(restored.pending_ends, restored.recorded_answer)
+        self.front.releases.resume(restored.pending_ends, restored.recorded_answer)
         self.route.resume(restored.releases)
 
     def knows_server(self, server: str) -> bool:
