--- a/trials/client.py
+++ b/trials/client.py
@@ -64,6 +64,8 @@
         self.agent = agent
         self.port = port
         self.number = number
+        # Every other client has an address of its own; the others share one, as behind a translator.
+        self.address = f"127.0.30.{number + 1}" if number % 2 else "127.0.0.1"
         self.history = history
         self.rng = rng
         self.behaviour = behaviour
@@ -97,9 +99,10 @@
         while True:
             self.disconnected = asyncio.Event()
             try:
-                await asyncio.wait_for(
-                    loop.create_connection(lambda: self, "127.0.0.1", self.port), CONNECT_TIMEOUT_S
+                dial = loop.create_connection(
+                    lambda: self, "127.0.0.1", self.port, local_addr=(self.address, 0)
                 )
+                await asyncio.wait_for(dial, CONNECT_TIMEOUT_S)
             except (OSError, TimeoutError):
                 await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
