--- a/frostport/config.py
+++ b/frostport/config.py
@@ -21,8 +21,8 @@
 from frostport.core import contracts
 from frostport.core.contracts import Contract, ContractError
 from frostport.diameter.settings import DiameterConfig, DiameterServer
-from frostport.net.bus import parse_event
 from frostport.net.jsonl import BadLineError
+from frostport.net.server_list import parse_event
 from frostport.settings import SettingsError
 
 if TYPE_CHECKING:
--- a/frostport/platform_side.py
+++ b/frostport/platform_side.py
@@ -17,10 +17,11 @@
 from frostport.core.broker import Broker
 from frostport.core.clock import Clock
 from frostport.core.lifecycle import Lifecycle
-from frostport.net.bus import EventBus, ServerList
+from frostport.net.bus import EventBus
 from frostport.net.front import PlatformFront
 from frostport.net.peers import Peers
 from frostport.net.peers import listen as listen_peers
+from frostport.net.server_list import ServerList
 from frostport.net.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:  # loaded only where a store is set
