--- a/review/rig2/parties.py
+++ b/review/rig2/parties.py
@@ -339,6 +339,7 @@
         self.transport: Any = None
         self.partial = b""
         self.quiet = False  # record only what goes wrong
+        self.ended_by_reset = False  # how its last connection ended: by a reset, else in order
 
     async def connect(self, limit_s: float = 5.0) -> None:
         """Connects, again until it works."""
@@ -361,6 +362,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.ended_by_reset = exc is not None
         self.record.note(f"{self.name}: its connection ends ({type(exc).__name__ if exc else 'closed'})")
         for call in self.calls.values():
             if not call.answers and call.lost_at is None:
@@ -377,15 +379,38 @@
         self.transport.write(data)
         return True
 
-    def set_up(self, dest: int = -1, left_ms: int = 3000) -> Call:
-        """Sends a set-up; `dest` is the number of the first choice."""
+    def _new_call(self, left_ms: int) -> Call:
         self.count += 1
         tag = f"{self.number:08x}{self.count:08x}"
-        blob = f"{tag}\r\nc=IN IP4 10.4.7.{self.number}\r\n"
-        opts = {"class": CLASS, "left": str(left_ms), "key": f"{self.count:016x}"}
-        opts["extras"] = f"dest:{dest};width:1;via:-1"
         call = self.calls[tag] = Call(tag, time.time(), left_ms)
-        written = self.write(line("START", tag, blob=blob, **opts))
+        return call
+
+    def _set_up_line(self, call: Call, dest: int, left_ms: int) -> bytes:
+        blob = f"{call.tag}\r\nc=IN IP4 10.4.7.{self.number}\r\n"
+        opts = {"class": CLASS, "left": str(left_ms), "key": call.tag}
+        opts["extras"] = f"dest:{dest};width:1;via:-1"
+        return line("START", call.tag, blob=blob, **opts)
+
+    def set_up_together(self, count: int, left_ms: int, again: Call | None = None) -> list[Call]:
+        """Sends new set-ups in one write, behind one that goes out again; returns the new calls."""
+        data = b""
+        if again is not None:
+            again.lost_at = None
+            data = self._set_up_line(again, 0, left_ms - round((time.time() - again.sent) * 1000.0))
+            self.record.note(f"{self.name}: set-up {again.tag} again")
+        calls = [self._new_call(left_ms) for _ in range(count)]
+        for call in calls:
+            data += self._set_up_line(call, 0, left_ms)
+            self.record.note(f"{self.name}: set-up {call.tag}, in the same write")
+        if not self.write(data):
+            raise OSError("not connected")
+        return calls
+
+    def set_up(self, dest: int = -1, left_ms: int = 3000) -> Call:
+        """Sends a set-up; `dest` is the number of the first choice."""
+        call = self._new_call(left_ms)
+        tag = call.tag
+        written = self.write(self._set_up_line(call, dest, left_ms))
         if not self.quiet or not written:
             self.record.note(f"{self.name}: set-up {tag} dest {dest}{'' if written else ': not connected'}")
         return call
@@ -439,6 +464,7 @@
     def __init__(self) -> None:
         self.transport: Any = None
         self.other: _RelayEnd | None = None
+        self.near = False  # the side of the client
         self.held: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -454,6 +480,12 @@
         if self.other is not None and self.other.transport is not None:
             self.other.transport.close()
 
+    def reset(self) -> None:
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is not None and not self.transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.transport.abort()
+
 
 class Relay:
     """The network between a client and an agent: passes all on, until it resets what is open.
@@ -477,6 +509,7 @@
 
     def _accept(self) -> _RelayEnd:
         near = _RelayEnd()
+        near.near = True
         self.ends.append(near)
         self.tasks.append(asyncio.ensure_future(self._connect(near)))
         return near
@@ -500,10 +533,25 @@
         self.record.note(f"relay of {self.address}: resets the open connections")
         ends, self.ends = self.ends, []
         for end in ends:
-            sock = end.transport.get_extra_info("socket") if end.transport is not None else None
-            if sock is not None and not end.transport.is_closing():
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                end.transport.abort()
+            end.reset()
+
+    def reset_client_sides(self) -> Callable[[], None]:
+        """Resets the clients' sides of the open connections now; what it returns resets the agent's sides."""
+        self.record.note(f"relay of {self.address}: resets the client's side")
+        ends, self.ends = self.ends, []
+        far_sides = [end.other for end in ends if end.near and end.other is not None]
+        for end in ends:
+            end.other = None
+        for end in ends:
+            if end.near:
+                end.reset()
+
+        def reset_far_sides() -> None:
+            self.record.note(f"relay of {self.address}: resets the agent's side")
+            for end in far_sides:
+                end.reset()
+
+        return reset_far_sides
 
     def stop(self) -> None:
         if self.server is not None:
