The list service of the tests closes its connections when it stops

Cause: ListService.stop cancelled the tasks that serve connections, which then left out their writer.close(). The writers were collected during later tests, and one collected while Hypothesis parsed a source turned tests/test_admission.py red by chance (SystemError, recursion depth).

Change: stop closes the writers itself and waits until they are closed.

--- a/standins/lists.py
+++ b/standins/lists.py
@@ -20,6 +20,7 @@
         self.requests: list[tuple[float, str, int]] = []  # Unix s, agent, offset
         self.tasks: set[asyncio.Task[None]] = set()
         self.servers: list[asyncio.Server] = []
+        self.writers: set[asyncio.StreamWriter] = set()
         self.changed = asyncio.Event()  # set, and replaced, with each new event
 
     def publish(self, hosts: list[dict[str, Any]]) -> None:
@@ -55,8 +56,10 @@
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(changed.wait(), self.heartbeat_s)
             writer.close()
+            self.writers.discard(writer)
 
         def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.writers.add(writer)
             task = asyncio.ensure_future(serve(reader, writer))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -66,8 +69,12 @@
         return int(server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
+        """Stops listening, and closes all connections: a cancelled task doesn't close its own."""
         for server in self.servers:
             server.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for writer in self.writers:
+            writer.close()
+        await asyncio.gather(*(writer.wait_closed() for writer in self.writers), return_exceptions=True)
