The end of a call is settled by its own client's confirmation alone

Cause: ClientReleases.settle took a confirmation from any connection as the client's. Evidence: a trace of each send, settling and available connection. All four were settled by (2, 127.0.0.12) for the client 127.0.0.11 within 2 ms of the send; when 127.0.0.11 came back, nothing was pending.

Change: a confirmation counts for the connection that gives it. It settles the release only on the connection that carried the call's answer, or the client's repeated set-up. Otherwise the release stays due to later connections from the client's address (8 s where a neighbour has confirmed it, 60 s where only other addresses have). The same for a client that is not known after a restart, and for Diameter's unknown clients, each configured peer of which has to answer. Why this works: only a party that the end is owed to can say that it has been told.

Tests: six red before the change (three of ends, one behind a shared address, one of the platform, one of Diameter), green after. One of them replaces a scenario that held the fault in place: it expected that a release confirmed by another client doesn't reach its own. A second scenario in its place keeps what was right in it: what the call's own connection has confirmed is never sent again.

--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -81,12 +81,17 @@
     release_held: bool = False  # the ASR is held back, so that a duplicate gets the answer first
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PendingRelease:
     """The release of a call, to be sent as an ASR until its client confirms it."""
 
-    client: str  # "" if it is not known: all client peers get the ASR
+    client: str  # "" if it is not known: all client peers get the ASR, and all have to answer
     outcome: Outcome
+    answered_by: set[str] = field(default_factory=set)  # hosts of the peers that have answered it
+
+    def awaits(self, host: str) -> bool:
+        """Whether this peer may be the call's client and has not answered the ASR."""
+        return self.client in ("", host) and host not in self.answered_by
 
 
 class DiameterFront(DiameterNode):
@@ -328,15 +333,17 @@
         self.broker.recorder.barrier(lambda: self._send_answer(connection, message, avp.SUCCESS, []))
 
     def handle_answer(self, connection: PeerConnection, message: Message) -> None:
-        """Handles an ASA. It confirms the release, with any Result-Code if it comes from the call's client.
+        """Handles an ASA, which confirms the release for this peer, with any Result-Code.
 
-        Where the client is not known, one that doesn't know the session leaves the release to the others."""
+        Where the client is not known, the release is still due to the peers that have not answered: one that
+        doesn't know the session may answer with success all the same."""
         call = self.aborts_sent.pop(message.hop_by_hop, "")
         release = self.pending_releases.get(call)
-        is_foreign = message.get(avp.RESULT_CODE) == avp.UNKNOWN_SESSION_ID
-        if release is not None and not release.client and is_foreign:
+        if release is None:
             return
-        self._settle_release(call)
+        release.answered_by.add(connection.host)
+        if not any(release.awaits(host) for host in self.peers):
+            self._settle_release(call)
 
     def _settle_release(self, call: str) -> None:
         """Forgets a pending release that is confirmed or has expired; does nothing if there is none."""
@@ -358,7 +365,7 @@
                 return
         for call, release in list(self.pending_releases.items()):
             session = self.sessions.get(call)
-            if release.client in ("", connection.host) and (session is None or not session.release_held):
+            if release.awaits(connection.host) and (session is None or not session.release_held):
                 self._send_abort_on(connection, call, release)
 
     def connection_lost(self, peer: Peer, connection: PeerConnection) -> None:
@@ -555,7 +562,7 @@
         Without a known client, all client peers get it."""
         for peer in self.peers.values():
             connection = peer.open_connection()
-            if connection is not None and release.client in ("", peer.host):
+            if connection is not None and release.awaits(peer.host):
                 self._send_abort_on(connection, call, release)
 
     def _send_abort_on(self, connection: PeerConnection, call: str, release: PendingRelease) -> None:
--- a/frostport/net/client_releases.py
+++ b/frostport/net/client_releases.py
@@ -2,7 +2,8 @@
 
 A call belongs to the client that set it up, known by its address, and to no connection (protocol page, "No
 connection owns a standing call"). Several clients may share an address; one that does not know a call ignores
-its release.
+its release, or confirms it as it confirms every release. Therefore only a confirmation on the connection that
+carried the call's answer proves that the call's client has been told.
 """
 
 from __future__ import annotations
@@ -40,8 +41,11 @@
     cause: int
     since_ms: float  # when the call ended, or its release was no longer held back
     client: str  # the address that the call was set up from; "" if it is not known
+    connection_id: int = -1  # the handle of the connection that carried the call's answer; -1: not known
     sent_at_ms: float = 0.0
-    sends: dict[int, int] = field(default_factory=dict)  # on each open connection, by handle: how often
+    sends: dict[int, int] = field(default_factory=dict)  # unconfirmed, by handle of the connection: how often
+    confirmed_on: set[int] = field(default_factory=set)  # handles of connections that have confirmed it
+    client_confirmed: bool = False  # one of these was a connection from the client's address
     client_only: bool = False  # no longer sent on connections from other addresses
     # The recorded answer to the set-up, if the client may have missed it.
     answer: RecordedAnswer | None = None
@@ -70,16 +74,24 @@
 
     First all from the client's address that have not carried it, as several clients may share the address;
     then, one at a time, connections from other addresses, as a client may have moved; then the same again.
-    Of equals, connections of regular clients come first, then those with the latest data."""
+    Of equals, connections of regular clients come first, then those with the latest data. One that has
+    confirmed the release is left out. Once one from the client's address has, only untried ones from there
+    are chosen."""
 
     def merit(connection: Carrier) -> tuple[bool, float]:
         return connection.trusted, connection.last_received_at
 
-    candidates = [conn for conn in usable if not release.client_only or release.is_for(conn.host)]
+    candidates = [
+        conn
+        for conn in usable
+        if conn.handle not in release.confirmed_on and (not release.client_only or release.is_for(conn.host))
+    ]
     untried = [conn for conn in candidates if conn.handle not in release.sends]
     own = [conn for conn in untried if release.is_for(conn.host)]
     if own:
         return heapq.nlargest(MAX_SENDS_AT_A_TIME, own, key=merit)
+    if release.client_confirmed:
+        return []
     if untried:
         return [max(untried, key=merit)]
     fewest = min((release.sends[conn.handle] for conn in candidates), default=0)
@@ -91,9 +103,11 @@
 class ClientReleases:
     """Owns each release from the end of its call until it is confirmed, no longer needed or too old.
 
-    It is sent as soon as a connection can carry it, and again at doubling intervals for RETRY_WINDOW_MS. One
-    that has not reached a connection of its client is kept for UNSENT_KEEP_MS, and sent when the client is
-    back."""
+    It is sent as soon as a connection can carry it, and again at doubling intervals for RETRY_WINDOW_MS. A
+    confirmation on the call's own connection settles it. One on another connection of the client's address
+    may be a neighbour's: later connections from there are still told within RETRY_WINDOW_MS. A release that
+    no connection of its client's address has carried is kept for UNSENT_KEEP_MS, whoever else has confirmed
+    it, and sent when the client is back."""
 
     def __init__(self, broker: Broker, connections: HandleTable[ClientConnection]) -> None:
         self.broker = broker
@@ -110,20 +124,22 @@
         call: str,
         client: str,
         outcome: Outcome,
-        connection: ClientConnection | None,
+        connection_id: int,
         missed_answer: RecordedAnswer | None = None,
         restarted: bool = False,
     ) -> None:
         """Sends the release of a call that has ended, on its own connection if that is open.
 
-        `missed_answer`: the recorded answer, if the client may not have received it. `restarted`: the process
-        was restarted since that answer, so the release is held back (see `_hold`)."""
+        `connection_id` is the handle of that connection, -1 if it is not known. `missed_answer`: the recorded
+        answer, if the client may not have received it. `restarted`: the process was restarted since that
+        answer, so the release is held back (see `_hold`)."""
         now = self.broker.clock.now()
         earlier = self.pending.get(call)
         if earlier is not None:
             self._withdraw(call, earlier)
-        release = PendingRelease(CAUSE_BY_OUTCOME.get(outcome, jsonl.BROKEN), now, client)
+        release = PendingRelease(CAUSE_BY_OUTCOME.get(outcome, jsonl.BROKEN), now, client, connection_id)
         self.pending[call] = release
+        connection = self.connections.get(connection_id)
         if missed_answer is not None:
             self._hold(release, missed_answer, now, restarted)
         if not release.hold_until_ms:
@@ -164,20 +180,44 @@
         if restarted and until > now:
             release.hold_until_ms = until
 
-    def settle(self, call: str, by: ClientConnection | None = None) -> bool:
-        """Ends a release that is confirmed, no longer needed or too old; False if none is pending.
+    def confirm(self, call: str, connection: ClientConnection) -> bool:
+        """Handles the confirmation of a release; False if none that this connection has carried is pending.
+
+        It settles the release on the call's own connection alone; see the class."""
+        release = self.pending.get(call)
+        if release is None or connection.handle not in release.sends:
+            return False
+        if connection.handle == release.connection_id:
+            self.settle(call, connection)
+            return True
+        del release.sends[connection.handle]
+        release.confirmed_on.add(connection.handle)
+        if release.is_for(connection.host):
+            release.client_confirmed = True
+            release.client_only = True
+        else:
+            log.info(
+                "call %s: release confirmed from %s, kept for its client %s",
+                call,
+                connection.host,
+                release.client,
+            )
+        self._stop_awaiting(call, connection)
+        return True
+
+    def settle(self, call: str, by: ClientConnection | None = None) -> None:
+        """Ends a release that is confirmed, no longer needed or too old; does nothing if none is pending.
 
         `by`: the connection on which the confirmation came; the others close if they are idle in a drain."""
         release = self.pending.pop(call, None)
         if release is None:
-            return False
+            return
         if release.answer is not None:
             self._remember_failed(call)
         for connection in self._withdraw(call, release):
             if connection is not by:
                 connection.close_if_idle()
         self.broker.recorder.clear_pending_end(call)
-        return True
 
     def _remember_failed(self, call: str) -> None:
         now = self.broker.clock.now()
@@ -187,13 +227,20 @@
 
     def _withdraw(self, call: str, release: PendingRelease) -> list[ClientConnection]:
         """Stops waiting for the confirmation on the connections that carried it, and returns these."""
-        carriers = [conn for handle in release.sends if (conn := self.connections.get(handle)) is not None]
+        carriers = self._carriers(release)
         release.sends.clear()
         for connection in carriers:
-            connection.unconfirmed_releases.discard(call)
-            connection.update_in_use()
+            self._stop_awaiting(call, connection)
         return carriers
 
+    def _stop_awaiting(self, call: str, connection: ClientConnection) -> None:
+        connection.unconfirmed_releases.discard(call)
+        connection.update_in_use()
+
+    def _carriers(self, release: PendingRelease) -> list[ClientConnection]:
+        """The open connections that have carried a release and not confirmed it."""
+        return [conn for handle in release.sends if (conn := self.connections.get(handle)) is not None]
+
     # Connections
 
     def connection_available(self, connection: ClientConnection) -> None:
@@ -201,21 +248,22 @@
         if not connection.can_carry_release():
             return
         for call, release in list(self.pending.items()):
-            unsent = not release.sends and not release.client_only
+            unsent = not release.sends and not release.confirmed_on and not release.client_only
             if (
                 not release.hold_until_ms
                 and connection.handle not in release.sends
+                and connection.handle not in release.confirmed_on
                 and (unsent or release.is_for(connection.host))
             ):
                 self.send_on(call, connection)
 
     def connection_lost(self, connection: ClientConnection) -> None:
         """Sends what was not confirmed on a closed connection on others."""
-        for call in connection.unconfirmed_releases:
+        unconfirmed, connection.unconfirmed_releases = connection.unconfirmed_releases, set()
+        for call in unconfirmed:
             self.pending[call].sends.pop(connection.handle, None)
-        connection.unconfirmed_releases.clear()
-        for call, release in list(self.pending.items()):
-            if not release.sends and not release.hold_until_ms:
+        for call in unconfirmed:
+            if not self.pending[call].sends:
                 self._send(call)
 
     # Sending
@@ -238,7 +286,7 @@
             self.send_on(call, connection)
 
     def _log_detour(self, call: str, release: PendingRelease) -> None:
-        carriers = [conn for handle in release.sends if (conn := self.connections.get(handle)) is not None]
+        carriers = self._carriers(release)
         own = sum(release.is_for(conn.host) for conn in carriers)
         log.info(
             "call %s over, its connection closed: released to %s on %d connections, on %d of other addresses",
@@ -274,14 +322,18 @@
         """Ends a release that is too old; one that its client has not been sent waits for that alone."""
         if age_ms < RETRY_WINDOW_MS:
             return
+        if release.client_confirmed:
+            self.settle(call)
+            return
         reached_client = self._reached_client(release)
         if reached_client or age_ms >= UNSENT_KEEP_MS:
             log.warning(
-                "call %s: its release was not confirmed in %.0f ms, client %s %s",
+                "call %s: its release was not confirmed in %.0f ms, client %s %s, %d others confirmed it",
                 call,
                 age_ms,
                 release.client or "unknown",
                 "connected" if reached_client else "not connected",
+                len(release.confirmed_on),
             )
             self.broker.metrics.release_unconfirmed()
             self.settle(call)
@@ -292,5 +344,4 @@
 
     def _reached_client(self, release: PendingRelease) -> bool:
         """Whether an open connection that may be the client's has carried the release."""
-        carriers = (self.connections.get(handle) for handle in release.sends)
-        return any(conn is not None and release.is_for(conn.host) for conn in carriers)
+        return any(release.is_for(conn.host) for conn in self._carriers(release))
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -487,6 +487,7 @@
             connection.send_message(Message("FINISH", call, rc=jsonl.OVERLOADED))
             connection.close_gracefully()
         else:
+            release.connection_id = connection.handle  # who repeats the set-up is the call's client
             if release.hold_until_ms:
                 self._send_answer(connection, call, release.answer)
                 release.hold_until_ms = 0.0
@@ -531,7 +532,7 @@
 
     def handle_finished(self, connection: ClientConnection, tag: str) -> None:
         """Handles the confirmation of a release; the connection counts as a regular client's from now on."""
-        if self.releases.settle(tag, connection):
+        if self.releases.confirm(tag, connection):
             connection.trusted = True
 
     def connection_lost(self, connection: ClientConnection) -> None:
@@ -603,9 +604,8 @@
         """Sends the release to the call's client, and again until it is confirmed.
 
         It is delayed if the client may repeat its set-up to get a lost answer; see `ClientReleases`."""
-        connection = self.connections.get(connection_id)
         answered_on = self._remove_established_call(call, connection_id)
         missed_answer = recorded_answer if answered_on is None else None
-        self.releases.add(call, client, outcome, connection, missed_answer, restarted=connection_id < 0)
+        self.releases.add(call, client, outcome, connection_id, missed_answer, restarted=connection_id < 0)
         if answered_on is not None:
             answered_on.close_if_idle()
--- a/tests/test_client_releases.py
+++ b/tests/test_client_releases.py
@@ -8,7 +8,7 @@
 
 from frostport.net.client_releases import MAX_SENDS_AT_A_TIME, PendingRelease, choose_connections
 from tests.restart import PlatformRestarts
-from tests.scenario import platform, play
+from tests.scenario import World, platform, play
 from tests.test_platform import ESTABLISHED
 
 # Two clients have a call each, and the connections of both are gone.
@@ -80,6 +80,56 @@
         expect c1 FINISH a rc=16
         expect c1 ECHOED 3
     """,
+    # Guards against the confirmation of a client that doesn't know the call taking its end from its own.
+    "a confirmation from another address leaves the end to the call's client": ESTABLISHED
+    + """
+        close c1
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1
+        send s0 FINISH a rc=16
+        expect c2 FINISH a rc=16
+        send c2 FINISHED a
+        wait 3000
+        expect c2 nothing
+        send c1 ECHO 2 rc=0
+        expect c1 FINISH a rc=16
+        expect c1 ECHOED 2
+        send c1 FINISHED a
+        wait 8000
+        close c1
+        send c1 ECHO 3 rc=0
+        expect c1 ECHOED 3
+        wait 60000
+        expect c1 nothing
+        expect c2 nothing
+    """,
+    # Guards against a made-up confirmation taking the end of a call from its client.
+    "a client can't confirm an end that it was not told": """
+        send c1 ECHO 1 rc=0
+        expect c1 ECHOED 1
+        send c1 stuck
+        send s0 FINISH a rc=16
+        send c2 FINISHED a
+        expect c2 FINISH a rc=16
+        send c1 unstuck
+        expect c1 FINISH a rc=16
+    """,
+    # Guards against the first client that is back after a restart taking the end from one that comes later.
+    "without a store the end of a call is told to a client that comes after another has confirmed it": """
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1
+        send s0 FINISH a rc=16
+        expect c2 FINISH a rc=16
+        send c2 FINISHED a
+        wait 3000
+        send c1 ECHO 2 rc=0
+        expect c1 FINISH a rc=16
+        expect c1 ECHOED 2
+        send c1 FINISHED a
+        wait 10000
+        expect c2 nothing
+        expect c1 nothing
+    """,
     # Guards against the end of a call from before a restart being told to one client at a time.
     "without a store the end of a call from before the start is told to every client": """
         send c1 ECHO 1 rc=0
@@ -106,6 +156,42 @@
     play(SCENARIOS[name], platform())
 
 
+class OneAddress(World):
+    """Both clients connect from one address, as behind a translator."""
+
+    def begin(self) -> None:
+        self.actors["c2"].name = "c1"
+        super().begin()
+
+
+def test_a_neighbour_behind_the_same_address_does_not_settle_the_end() -> None:
+    # Guards against the confirmation of a client that shares the address of the call's client.
+    play(
+        ESTABLISHED
+        + """
+        close c1
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1
+        send s0 FINISH a rc=16
+        expect c2 FINISH a rc=16
+        send c2 FINISHED a
+        wait 3000
+        send c1 ECHO 2 rc=0
+        expect c1 FINISH a rc=16
+        expect c1 ECHOED 2
+        send c1 FINISHED a
+        wait 5001
+        close c1
+        send c1 ECHO 3 rc=0
+        expect c1 ECHOED 3
+        expect c1 nothing
+        expect c2 nothing
+        """,
+        platform(),
+        OneAddress,
+    )
+
+
 def test_after_a_restart_with_a_store_the_end_goes_to_the_client_on_record() -> None:
     # Guards against a regular client being told the end of a call of one that has only just come back.
     play(
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -322,6 +322,23 @@
         expect s0 CCR-T b
         expect s1 CCR-T b
     """,
+    # Guards against the end being taken for told because a client answers every release with success.
+    "after a restart, an end is due to each client until that one has answered": """
+        send c1 DWR
+        send s0 ASR a cause=1
+        expect s0 ASA a result=2001
+        expect c1 ASR a
+        send c1 ASA a result=2001
+        close c1
+        send c1 DWR
+        send c2 DWR
+        expect c1 nothing
+        expect c2 ASR a
+        send c2 ASA a result=2001
+        close c2
+        send c2 DWR
+        expect c2 nothing
+    """,
     # Guards against the end being taken for told because a client answered that it doesn't know the session.
     "after a restart, an end is due until the client that knows its session answers": """
         send c1 DWR
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -176,7 +176,7 @@
         send c2 ECHO 1 rc=0
         expect c2 FINISH a rc=16
     """,
-    "a release not confirmed before its connection broke is sent again; a confirmed one is not": ESTABLISHED
+    "a release not confirmed before its connection broke is sent again, also to its own client": ESTABLISHED
     + """
         send s0 FINISH a rc=16
         expect c1 FINISH a rc=16
@@ -186,8 +186,23 @@
         send c2 FINISHED a
         close c2
         send c1 ECHO 1 rc=0
+        expect c1 FINISH a rc=16
+        expect c1 ECHOED 1
+        expect c1 nothing
+    """,
+    "a release that its call's own connection has confirmed is not sent again": ESTABLISHED
+    + """
+        send s0 FINISH a rc=16
+        expect c1 FINISH a rc=16
+        send c1 FINISHED a
+        close c1
+        send c2 ECHO 1 rc=0
+        expect c2 ECHOED 1
+        send c1 ECHO 1 rc=0
         expect c1 ECHOED 1
+        wait 60000
         expect c1 nothing
+        expect c2 nothing
     """,
     "a server repeats its release on the next connection": ESTABLISHED
     + """
