The bytes held for clients have one limit, kept by the gate, on both fronts

Cause: every limit was a count, of things of up to 16 or 64 KiB, and their product is more than the memory. No place knew the sum. A Diameter set-up that waits kept all its AVPs as objects.

Change: the gate's Buffers, which no front fed, count per connection what it makes us hold: input that waits, open set-ups, output that is not read. The limit is a quarter of limits.memory_mb, which the configuration now reads. A connection may hold an eighth of what is free (dynamic thresholds): past it set-ups are refused and nothing is read ahead. Past the whole, the largest holders are closed. Connections of clients are read 16 KiB at a time. A Diameter set-up keeps what its answer repeats. Why this works: the sum is what the process is killed for, and each event that adds to it is counted.

--- a/frostport/admission/gate.py
+++ b/frostport/admission/gate.py
@@ -185,7 +185,7 @@
         return 0.0 if self.is_known(address, now) else self.offenders.record(address, now)
 
     def set_buffered(self, admission: Admission, count: int) -> bool:
-        """Records how many bytes the client has still to read.
+        """Records how many bytes are held for the connection.
 
         Returns False if they exceed the limit of one connection; the caller closes it."""
         if admission.number not in self.admissions:
@@ -194,6 +194,19 @@
         self._update_load()
         return within_limit
 
+    def may_hold(self, admission: Admission, count: int) -> bool:
+        """Whether `count` bytes more may be held for the connection: a new set-up, or lines read ahead."""
+        return self.buffers.may_hold(admission.number, count)
+
+    def shed_largest(self) -> list[Admission]:
+        """The connections to close now because all together hold too many bytes: those that hold most."""
+        shed = []
+        while self.buffers.exceeded():
+            admission = self.admissions[self.buffers.largest_holder()]
+            self._evict(admission, Reason.BUFFERS)
+            shed.append(admission)
+        return shed
+
     def remove(self, admission: Admission) -> None:
         """The connection is closed. Idempotent."""
         if self.admissions.pop(admission.number, None) is None:
--- a/frostport/admission/resources.py
+++ b/frostport/admission/resources.py
@@ -1,4 +1,4 @@
-"""Accounting of limited resources: file descriptors by owner, and bytes that clients have still to read."""
+"""Accounting of limited resources: file descriptors by owner, and the bytes held for client connections."""
 
 from __future__ import annotations
 
@@ -77,8 +77,13 @@
         return self.open[Owner.CLIENTS] / max(1, self._client_limit())
 
 
+# A connection may hold up to the free bytes divided by this. However many connections hold all that they may,
+# this part of one such connection's bytes is left for others (dynamic thresholds, Choudhury and Hahne, 1998).
+FREE_BYTES_DIVISOR = 8
+
+
 class Buffers:
-    """Bytes written to connections and not yet read by the other side. A limit of 0: none."""
+    """Bytes held for connections: input not handled, open set-ups, output not read. A limit of 0: none."""
 
     def __init__(self, limit: int, connection_limit: int) -> None:
         self.limit = limit
@@ -95,6 +100,21 @@
             self.by_number.pop(number, None)
         return not self.connection_limit or count <= self.connection_limit
 
+    def may_hold(self, number: int, count: int) -> bool:
+        """Whether connection `number` may hold `count` bytes more than now."""
+        held = self.by_number.get(number, 0) + count
+        if self.connection_limit and held > self.connection_limit:
+            return False
+        return not self.limit or held <= (self.limit - self.total) // FREE_BYTES_DIVISOR
+
+    def exceeded(self) -> bool:
+        """Whether all connections together hold more than the limit."""
+        return bool(self.limit) and self.total > self.limit
+
+    def largest_holder(self) -> int:
+        """The connection that holds most. Raises ValueError if none holds anything."""
+        return max(self.by_number, key=self.by_number.__getitem__)
+
     def utilization(self) -> float:
         """The share of the limit of all connections that is used; 0 without one."""
         return self.total / self.limit if self.limit else 0.0
--- a/frostport/admission/settings.py
+++ b/frostport/admission/settings.py
@@ -39,7 +39,7 @@
     earned_ms: float = 600_000.0  # how long a client counts as known after one of its calls succeeded
     back_off_ms: float = 0.0  # after the first offence; doubled with each further one
     back_off_most_ms: float = 60_000.0
-    buffered_bytes: int = 0  # unread by all clients together
-    buffered_connection_bytes: int = 0
+    buffered_bytes: int = 0  # held for all clients: input that waits, open set-ups, output that is not read
+    buffered_connection_bytes: int = 0  # the same for one connection
     ladder: bool = False  # whether the ladder's steps refuse and shed; if not, idle connections are evicted
     remembered: int = 4096  # maximum entries of each table of addresses, prefixes or offenders
--- a/frostport/config.py
+++ b/frostport/config.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import ipaddress
+import math
 import pathlib
 import re
 from collections.abc import Mapping
@@ -201,7 +202,8 @@
     except (TypeError, ValueError):
         raise ConfigError("seed: neither a hexadecimal string nor a number") from None
     peers = read_field(record, "peers", list, [])
-    sockets = read_field(read_field(record, "limits", dict, {}), "sockets", int, 1024, "limits.")
+    limits = read_field(record, "limits", dict, {})
+    sockets = read_field(limits, "sockets", int, 1024, "limits.")
     if sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets: must be at least {MIN_SOCKETS}, got {sockets}")
     return Config(
@@ -219,7 +221,7 @@
         diameter=read_diameter(record, call_settings) if "diameter" in record else None,
         contracts=read_contracts(record, folder),
         store=read_store(record, folder) if "store" in record else None,
-        admission=read_admission(record, sockets),
+        admission=read_admission(record, sockets, read_memory_mb(limits)),
         operator=read_address(record, "operator", optional=True),
         fleet=read_fleet(record, folder) if "fleet" in record else None,
         startup=read_startup(record) if "startup" in record else None,
@@ -248,6 +250,19 @@
     return max(sockets // 2, sockets - RESERVED_SOCKETS)
 
 
+DEFAULT_MEMORY_MB = 192  # the least that the platform gives
+BUFFER_SHARE = 4  # a quarter of the memory limit may be held for clients
+MEGABYTE = 1024 * 1024
+
+
+def read_memory_mb(limits: Mapping[str, Any]) -> float:
+    """Reads the memory limit of the process, in MB. Raises ConfigError."""
+    value = limits.get("memory_mb", DEFAULT_MEMORY_MB)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ConfigError(f"limits.memory_mb: must be a number above 0, got {value!r:.40}")
+    return float(value)
+
+
 # Fields of the `admission` part, by how their values are checked.
 COUNT_FIELDS = (
     "by_address",
@@ -263,10 +278,11 @@
 PREFIX_FIELDS = {"ipv4_prefix": 32, "ipv6_prefix": 128}
 
 
-def read_admission(record: Mapping[str, Any], sockets: int) -> Limits:
+def read_admission(record: Mapping[str, Any], sockets: int, memory_mb: float) -> Limits:
     """Reads the `admission` part, which may be missing. Raises ConfigError.
 
-    The limit of client connections follows from `sockets`, the descriptors of the process."""
+    The limit of client connections follows from `sockets`, the descriptors of the process; that of the bytes
+    held for them from `memory_mb`, its memory, if the part has none."""
     prefix = "admission."
     section = read_field(record, "admission", dict, {})
     field_names = {
@@ -282,7 +298,10 @@
     for entry in section:
         if entry not in field_names:
             raise ConfigError(f"{prefix}{entry}: unknown field")
-    values: dict[str, Any] = {"connections": max_client_connections(sockets)}
+    values: dict[str, Any] = {
+        "connections": max_client_connections(sockets),
+        "buffered_bytes": int(memory_mb * MEGABYTE / BUFFER_SHARE),
+    }
     for entry in section:
         if entry in COUNT_FIELDS:
             values[entry] = read_field(section, entry, int, 0, prefix)
--- a/frostport/core/calls.py
+++ b/frostport/core/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,9 +14,17 @@
 
 Body = str | bytes  # a description, opaque to the core: a front is paired with a route of the same protocol
 
+REQUEST_OVERHEAD_BYTES = 4096  # the objects of an open request, here and in the decision module
 MAX_RELEASE_HOLD_MS = 10_000.0  # longest delay of a release for a client that may repeat its set-up
 
 
+def request_bytes(description: Body, *names: str) -> int:
+    """The memory that an open request holds, in bytes: its description and the names that came with it."""
+    named = sum(sys.getsizeof(name) for name in names)
+    encoded = 0 if isinstance(description, bytes) or description.isascii() else len(description.encode())
+    return REQUEST_OVERHEAD_BYTES + sys.getsizeof(description) + encoded + named
+
+
 class State(Enum):
     """State of a request."""
 
@@ -53,6 +62,7 @@
     client: str = ""  # the client's name, as the front knows it
     end_to_end_id: int = 0  # Diameter: End-to-End Identifier of the set-up
     ended_by: int = -1  # Diameter: End-to-End Identifier of the release; -1: none
+    held_bytes: int = 0  # what it holds while it is open, as counted towards its connection
 
     def drop_description(self) -> None:
         """Forgets the description once no attempt can need it: a call may be established for hours."""
--- a/frostport/diameter/avp.py
+++ b/frostport/diameter/avp.py
@@ -14,6 +14,7 @@
 VERSION = 1
 HEADER_BYTES = 20
 MAX_MESSAGE_BYTES = 64 * 1024
+AVP_OVERHEAD_BYTES = 256  # the objects that an AVP needs besides its data
 
 # Command flags: the R, P, E and T bits of the message header
 REQUEST = 0x80
@@ -276,6 +277,15 @@
         Raises AvpError if it is malformed."""
         return find_value(self.avps, definition)
 
+    def for_answer(self) -> Message:
+        """This request as far as its answer needs it: a request that waits keeps no other AVP."""
+        kept = [avp for avp in self.avps if not avp.vendor and avp.code in ANSWERED_CODES]
+        return Message(self.command, self.application, self.hop_by_hop, self.end_to_end, self.flags, kept)
+
+    def held_bytes(self) -> int:
+        """The memory that the AVPs need, in bytes."""
+        return sum(AVP_OVERHEAD_BYTES + len(avp.data) for avp in self.avps)
+
     def encode(self) -> bytes:
         """Encodes the header and all AVPs."""
         body = b"".join(avp.encode() for avp in self.avps)
@@ -308,6 +318,12 @@
         )
 
 
+# The AVPs of a credit-control request that its answer repeats.
+ANSWERED_CODES = frozenset(
+    entry.code for entry in (SESSION_ID, CC_REQUEST_TYPE, CC_REQUEST_NUMBER, PROXY_INFO)
+)
+
+
 def read_header(frame: bytes) -> Message:
     """Reads the header of an undecoded message, which is enough to answer one whose AVPs are malformed."""
     _, word, application, hop_by_hop, end_to_end = struct.unpack("!IIIII", frame[:HEADER_BYTES])
@@ -395,6 +411,10 @@
         """Whether an incomplete message is buffered."""
         return bool(self._buffer)
 
+    def partial_bytes(self) -> int:
+        """The length of the incomplete message, as far as it has come."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the messages completed by `data`, undecoded.
 
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -15,7 +15,7 @@
 from frostport import interface as api
 from frostport.admission.gate import Admission, Gate
 from frostport.core.broker import Broker
-from frostport.core.calls import Body, RecordedAnswer, Request, State, held_until
+from frostport.core.calls import Body, RecordedAnswer, Request, State, held_until, request_bytes
 from frostport.core.handles import HandleTable
 from frostport.core.lifecycle import Lifecycle
 from frostport.diameter import avp
@@ -65,6 +65,15 @@
     )
 
 
+@dataclass(slots=True, eq=False)
+class WaitingRequest:
+    """A set-up, or a duplicate of one, that waits for its answer on its connection."""
+
+    connection: PeerConnection
+    message: Message  # as far as the answer needs it
+    held_bytes: int  # counted towards the connection
+
+
 @dataclass(slots=True, eq=False)
 class Session:
     """One call as its client sees it. It is kept for ANSWER_KEEP_MS after the call, to answer duplicates.
@@ -74,7 +83,7 @@
     client: str
     realm: str
     supports_overload_control: bool
-    waiting_requests: list[tuple[PeerConnection, Message]] = field(default_factory=list)
+    waiting_requests: list[WaitingRequest] = field(default_factory=list)
     answer: tuple[int, list[Avp]] | None = None
     ended_by: int = -1  # End-to-End Identifier of the CCR-Termination that ended it
     answered_on: PeerConnection | None = None  # the connection on which the answer was sent last
@@ -168,6 +177,43 @@
         """Whether a client has a call that is not over, or one that ended less than ANSWER_KEEP_MS ago."""
         return any(session.client == client for session in self.sessions.values())
 
+    # Held bytes
+
+    def on_held_bytes_changed(self, connection: PeerConnection) -> None:
+        """Reports to the gate what is held for the connection, which may close those that hold most."""
+        self._report_held_bytes(connection)
+        self.shed(self.gate.shed_largest())
+
+    def _report_held_bytes(self, connection: PeerConnection) -> None:
+        if connection.admission is not None:
+            self.gate.set_buffered(connection.admission, connection.held_bytes())
+
+    def _may_hold(self, connection: PeerConnection, count: int) -> bool:
+        return connection.admission is None or self.gate.may_hold(connection.admission, count)
+
+    def _await_answer(
+        self, session: Session, connection: PeerConnection, message: Message, held: int
+    ) -> None:
+        """Keeps a set-up, or a duplicate of one, until the answer."""
+        session.waiting_requests.append(WaitingRequest(connection, message, held))
+        connection.set_up_bytes += held
+        self.on_held_bytes_changed(connection)
+
+    def _take_waiting(
+        self, session: Session, connection: PeerConnection | None = None
+    ) -> list[WaitingRequest]:
+        """Removes the requests that wait for the answer, on one connection or on all, and returns them."""
+        taken = [
+            waiting
+            for waiting in session.waiting_requests
+            if connection is None or waiting.connection is connection
+        ]
+        session.waiting_requests = [waiting for waiting in session.waiting_requests if waiting not in taken]
+        for waiting in taken:
+            waiting.connection.set_up_bytes -= waiting.held_bytes
+            self._report_held_bytes(waiting.connection)
+        return taken
+
     def busy(self) -> bool:
         """Whether a connection that is in use delays a drain: never, as peers stay connected."""
         return False
@@ -215,15 +261,15 @@
                 connection, message, avp.UNKNOWN_SESSION_ID, [], "the session is another client's"
             )
             return
-        if (
-            session is not None
-            and session.answer is None
-            and len(session.waiting_requests) >= MAX_WAITING_DUPLICATES
-        ):
-            self._send_answer(connection, message, avp.TOO_BUSY, [], "too many duplicates")
-            return
+        kept = message.for_answer()
         if session is not None and session.answer is None:
-            session.waiting_requests.append((connection, message))  # a duplicate: gets the same answer
+            held_bytes = kept.held_bytes()
+            if len(session.waiting_requests) >= MAX_WAITING_DUPLICATES or not self._may_hold(
+                connection, held_bytes
+            ):
+                self._send_answer(connection, message, avp.TOO_BUSY, [], "too many duplicates")
+                return
+            self._await_answer(session, connection, kept, held_bytes)  # a duplicate: gets the same answer
             return
         if session is not None and session.answer is not None:
             session.answered_on = connection
@@ -248,7 +294,9 @@
             self.broker.metrics.deferred(call_class.name)
             self._send_answer(connection, message, avp.TOO_BUSY, [], "draining")
             return
-        if self.broker.open_count >= MAX_OPEN_SET_UPS:
+        description = service_avps(message)
+        held_bytes = request_bytes(description, session_id) + kept.held_bytes()
+        if self.broker.open_count >= MAX_OPEN_SET_UPS or not self._may_hold(connection, held_bytes):
             self.broker.metrics.deferred(call_class.name)
             self._send_answer(connection, message, avp.TOO_BUSY, [], "too many set-ups open")
             return
@@ -266,18 +314,18 @@
         called_station = str(message.get(avp.CALLED_STATION_ID) or "")
         features = message.get(avp.OC_SUPPORTED_FEATURES)
         feature_vector = avp.find_value(features, avp.OC_FEATURE_VECTOR) if features is not None else 0
-        self.sessions[session_id] = Session(
+        session = self.sessions[session_id] = Session(
             connection.host,
             str(message.get(avp.ORIGIN_REALM)),
             features is not None
             and bool((LOSS_ALGORITHM if feature_vector is None else feature_vector) & LOSS_ALGORITHM),
-            [(connection, message)],
         )
+        self._await_answer(session, connection, kept, held_bytes)
         request = Request(
             session_id,
             call_class.name,
             called_station,
-            service_avps(message),
+            description,
             self.clock.now() + remaining_ms,
             self,
             connection.handle,
@@ -316,13 +364,13 @@
                 return
             if session is not None and session.answer is None:
                 # Given up while the answer waits to be recorded: it is not sent any more.
-                del self.sessions[session_id]
+                self._drop_session(session_id, session)
             self.broker.release_unknown(session_id)
             self._send_answer(connection, message, avp.UNKNOWN_SESSION_ID, [], "no such session")
             return
         request.ended_by = message.end_to_end
         if session is not None and session.answer is None:
-            del self.sessions[session_id]  # given up: no answer is sent
+            self._drop_session(session_id, session)  # given up: no answer is sent
         elif session is not None:
             session.ended_by = message.end_to_end
             self._schedule_removal(session_id)
@@ -377,9 +425,7 @@
         }
         for session_id, session in list(self.sessions.items()):
             if session.answer is None:
-                session.waiting_requests = [
-                    (at, message) for at, message in session.waiting_requests if at is not connection
-                ]
+                self._take_waiting(session, connection)
                 request = self.broker.find_request(session_id)
                 if not session.waiting_requests and request is not None:
                     del self.sessions[session_id]
@@ -393,7 +439,7 @@
         # Guards against an unnoticed close: a peer that does not read is not read from, so that the reactor
         # does not report its close.
         return session is not None and not all(
-            self.closed_by_peer(connection.transport) for connection, _ in session.waiting_requests
+            self.closed_by_peer(waiting.connection.transport) for waiting in session.waiting_requests
         )
 
     def call_established(self, request: Request, description: Body) -> None:
@@ -527,10 +573,9 @@
         if session is None:
             return
         session.answer = (result, avps)
-        for connection, message in session.waiting_requests:
-            session.answered_on = connection
-            self._send_answer(connection, message, result, avps)
-        session.waiting_requests = []
+        for waiting in self._take_waiting(session):
+            session.answered_on = waiting.connection
+            self._send_answer(waiting.connection, waiting.message, result, avps)
         if result != avp.SUCCESS:
             self._schedule_removal(request.id)
 
@@ -540,6 +585,11 @@
         if session is not None:
             self.deadlines.set(self.clock.now() + ANSWER_KEEP_MS, lambda: self._remove_session(call, session))
 
+    def _drop_session(self, call: str, session: Session) -> None:
+        """Forgets a session that waits for its answer, which will not be sent."""
+        self._take_waiting(session)
+        del self.sessions[call]
+
     def _remove_session(self, call: str, session: Session) -> None:
         if self.sessions.get(call) is session:
             del self.sessions[call]
--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -35,6 +35,10 @@
 PARTIAL_MESSAGE_TIMEOUT_MS = 2_000.0  # for a message that has begun to be completed
 WRITE_STALL_TIMEOUT_MS = 2_000.0  # for a peer to read what was written to it
 CLOSE_TIMEOUT_MS = 1_000.0  # for buffered output to be sent before a connection is aborted
+CONNECTION_BUFFER_BYTES = (
+    16 * 1024
+)  # of an accepted connection: read at a time, and written ahead of its peer
+FRAME_OVERHEAD_BYTES = 64  # the objects that a waiting message needs besides its bytes
 MESSAGES_PER_ITERATION = 50  # handled on one connection per event-loop iteration
 MAX_UNANSWERED_REQUESTS = 1_000  # per connection; beyond that the oldest are forgotten
 RELAY_APPLICATION = 0xFFFFFFFF  # the Application Id of relay agents, which take any application
@@ -111,6 +115,9 @@
     def on_disconnect_request(self, connection: PeerConnection, cause: int) -> None:
         """Called for a Disconnect-Peer-Request; `cause` is its Disconnect-Cause."""
 
+    def on_held_bytes_changed(self, connection: PeerConnection) -> None:
+        """Called when the connection holds other bytes than before; the connection may be closed in it."""
+
     def on_close(self, connection: PeerConnection) -> None:
         """Called once when the connection is closed."""
 
@@ -147,6 +154,9 @@
         self.released: Callable[[], None] = lambda: None  # called when its descriptor is free
         self._splitter = MessageSplitter()
         self._pending_frames: deque[bytes] = deque()  # messages read and not handled yet
+        self._pending_bytes = 0  # of these
+        self._unread_bytes = 0  # written ahead of a peer that does not read
+        self.set_up_bytes = 0  # held for set-ups that wait for their answer on it; the front counts them
         self._timeout: Deadline | None = None  # of the capabilities exchange, a disconnect or a close
         self._partial_timeout: Deadline | None = None
         self._write_stall_timeout: Deadline | None = None
@@ -160,6 +170,8 @@
         if interfaces.ITCPTransport.providedBy(self.transport):
             self.transport.setTcpNoDelay(True)
         self.state = ConnectionState.WAIT_CEA if self.dialed_host else ConnectionState.WAIT_CER
+        if not self.dialed_host:
+            self.transport.bufferSize = CONNECTION_BUFFER_BYTES
         self.transport.registerProducer(self, True)
         # Guards against hundreds of connections that send nothing.
         timeout_ms = EXCHANGE_TIMEOUT_MS if self.dialed_host else CER_TIMEOUT_MS
@@ -171,12 +183,15 @@
         if self._ignore_input:
             return
         try:
-            self._pending_frames.extend(self._splitter.feed(data))
+            frames = self._splitter.feed(data)
         except StreamError as problem:
             limited_log.warn(self.clock.now(), self.host, f"closing the connection: {problem}")
             self.drop()
             return
+        self._pending_frames.extend(frames)
+        self._pending_bytes += sum(len(frame) for frame in frames)
         self._handle_frames()
+        self.handler.on_held_bytes_changed(self)
         if not self._splitter.partial:
             self._partial_timeout = cancel_if_set(self._partial_timeout)
         elif self._partial_timeout is None and not self._ignore_input:
@@ -192,8 +207,10 @@
         for _ in range(MESSAGES_PER_ITERATION):
             if self._ignore_input or not self._pending_frames:
                 break
+            frame = self._pending_frames.popleft()
+            self._pending_bytes -= len(frame)
             try:
-                self._handle_frame(self._pending_frames.popleft())
+                self._handle_frame(frame)
             except Exception:  # affects this message only
                 log.exception("%s: exception while handling a message", self.host)
         if self._ignore_input:
@@ -206,6 +223,7 @@
 
     def pauseProducing(self) -> None:  # noqa: N802 (Twisted's name)
         """Guards against a peer that sends requests and does not read: it is not read from until it does."""
+        self._unread_bytes += CONNECTION_BUFFER_BYTES
         if not self._ignore_input and self._write_stall_timeout is None:
             self.transport.pauseProducing()
             self._write_stall_timeout = self.deadlines.set(
@@ -214,6 +232,8 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         self._write_stall_timeout = cancel_if_set(self._write_stall_timeout)
+        self._unread_bytes = 0
+        self.handler.on_held_bytes_changed(self)
         if not self._ignore_input and not self._pending_frames:
             self.transport.resumeProducing()
 
@@ -226,6 +246,7 @@
 
     def _on_closed(self) -> None:
         self._ignore_input = True
+        self._pending_frames.clear()
         for deadline in (
             self._timeout,
             self._partial_timeout,
@@ -273,8 +294,19 @@
 
     def send_message(self, message: Message) -> None:
         """Sends a message; does nothing if the connection is closed."""
-        if self.state is not ConnectionState.CLOSED:
-            self.transport.write(message.encode())
+        if self.state is ConnectionState.CLOSED:
+            return
+        data = message.encode()
+        if self._write_stall_timeout is not None:
+            self._unread_bytes += len(data)
+            self.handler.on_held_bytes_changed(self)
+        self.transport.write(data)
+
+    def held_bytes(self) -> int:
+        """What is held for this connection: input that waits, set-ups, output that is not read."""
+        overhead = FRAME_OVERHEAD_BYTES * len(self._pending_frames)
+        waiting = self._splitter.partial_bytes() + self._pending_bytes + overhead
+        return waiting + self.set_up_bytes + self._unread_bytes
 
     def reply(
         self,
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -14,7 +14,7 @@
 from frostport import interface as api
 from frostport.admission.gate import Admission, Gate
 from frostport.core.broker import Broker
-from frostport.core.calls import Body, RecordedAnswer, Request, State
+from frostport.core.calls import Body, RecordedAnswer, Request, State, request_bytes
 from frostport.core.deadlines import Deadline
 from frostport.core.handles import HandleTable
 from frostport.core.lifecycle import Lifecycle
@@ -31,6 +31,7 @@
 CLOSE_TIMEOUT_MS = 1000.0  # for buffered output to be sent before a connection is aborted
 MAX_MALFORMED_LINES = 3  # malformed set-ups on one connection before it is closed
 MAX_OPEN_SET_UPS = 100  # per connection; further ones are refused
+CONNECTION_BUFFER_BYTES = 16 * 1024  # read at a time, and written ahead of a client that does not read
 MAX_DESCRIPTION_BYTES = jsonl.MAX_LINE_BYTES - 512  # leaves room for the other fields of the forwarded line
 KEY_PATTERN = re.compile(r"[0-9a-fA-F]{1,16}\Z")
 INTEGER_PATTERN = re.compile(r"-?[0-9]{1,9}\Z")
@@ -60,6 +61,8 @@
         self._gets_releases = False  # pending releases have been sent on it, behind its first answers
         self.trusted = False  # an answer was sent or a release confirmed on it: a regular client
         self.malformed_count = 0
+        self._set_up_bytes = 0  # held for the open set-ups
+        self._unread_bytes = 0  # written ahead of a client that does not read
         self.unconfirmed_releases: set[str] = set()  # sent on it, not confirmed yet
         self.established_calls: set[str] = set()  # answered on it, not ended yet
         self._timeout: Deadline | None = None
@@ -73,6 +76,7 @@
         self.host = str(getattr(self.transport.getPeer(), "host", ""))
         self.front.connections_by_admission[self.admission.number] = self
         self.last_received_at = self.clock.now()
+        self.transport.bufferSize = CONNECTION_BUFFER_BYTES
         self.transport.registerProducer(self, True)
         # Guards against hundreds of connections that send nothing, or part of a line.
         self._set_timeout(FIRST_LINE_TIMEOUT_MS)
@@ -95,6 +99,7 @@
         Guards against a client that sends requests and does not read the answers. Lines that arrive meanwhile
         are searched for give-ups."""
         self.write_blocked = True
+        self._unread_bytes += CONNECTION_BUFFER_BYTES
         if self.alive:
             self._set_timeout(WRITE_STALL_TIMEOUT_MS, self._on_write_stall)
 
@@ -103,12 +108,14 @@
 
         Lines already read are handled first, as on a close, so that releases among them are not lost."""
         self.peer_closed = True
-        self._handle_lines(len(self._pending_lines))
+        self._handle_all_lines()
         self.drop()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """The client has read the buffered output: its requests are handled again."""
         self.write_blocked = False
+        self._unread_bytes = 0
+        self.on_held_bytes_changed()
         if self.alive:
             self._set_timeout(None)
             self.front.releases.connection_available(self)
@@ -117,6 +124,45 @@
     def stopProducing(self) -> None:  # noqa: N802
         pass
 
+    # Held bytes
+
+    def write(self, data: bytes) -> bool:
+        """Writes bytes, and counts them while the client does not read; False if the connection is closed."""
+        if self.write_blocked:
+            self._unread_bytes += len(data)
+            self.on_held_bytes_changed()
+        return super().write(data)
+
+    def on_held_bytes_changed(self) -> None:
+        """Reports to the gate what is held for the connection, which may close those that hold most."""
+        self._report_held_bytes()
+        self.front.shed(self.front.gate.shed_largest())
+
+    def _report_held_bytes(self) -> None:
+        held = self.held_input_bytes() + self._set_up_bytes + self._unread_bytes
+        self.front.gate.set_buffered(self.admission, held)
+
+    def may_read_ahead(self) -> bool:
+        """Whether more may be read: also not while the connection holds more than its share of the memory."""
+        if not self._pending_lines:
+            return True
+        return super().may_read_ahead() and self.front.gate.may_hold(self.admission, 0)
+
+    def add_set_up(self, request: Request) -> None:
+        """A set-up waits on it for its final answer."""
+        self.open_set_ups[request.id] = request
+        self._set_up_bytes += request.held_bytes
+        self.update_in_use()
+        self.on_held_bytes_changed()
+
+    def remove_set_up(self, call: str) -> None:
+        """A set-up has its final answer, or is given up; does nothing if it is not open here."""
+        request = self.open_set_ups.pop(call, None)
+        if request is not None:
+            self._set_up_bytes -= request.held_bytes
+        self.update_in_use()
+        self._report_held_bytes()
+
     # Input
 
     def on_lines_read(self, lines: list[tuple[bytes, bool]]) -> list[tuple[bytes, bool]]:
@@ -400,15 +446,17 @@
                 f"blob: missing, or over the limit of {MAX_DESCRIPTION_BYTES} bytes for it and the class name"
             )
         extras = parse_extras(opts.get("extras", ""), broker.rules.pools_by_class[call_class])
+        team = opts.get("tenant", "-")
+        held_bytes = request_bytes(message.blob, team)
         if (
             not self.lifecycle.accepts_requests()
             or len(connection.open_set_ups) >= MAX_OPEN_SET_UPS
+            or not self.gate.may_hold(connection.admission, held_bytes)
             or (self.lifecycle.is_draining() and connection.carries_calls())
         ):
             broker.metrics.deferred(call_class)
             connection.send_message(Message("FINISH", tag, rc=jsonl.OVERLOADED))
             return
-        team = opts.get("tenant", "-")
         if self.gate.limits.by_team and self.gate.mark_identified(connection.admission, team) is not None:
             broker.metrics.deferred(call_class)
             connection.send_message(Message("FINISH", tag, rc=jsonl.OVERLOADED))
@@ -424,9 +472,9 @@
             connection.handle,
             team,
             client=connection.host,
+            held_bytes=held_bytes,
         )
-        connection.open_set_ups[tag] = request
-        connection.update_in_use()
+        connection.add_set_up(request)
         broker.request_arrived(
             request,
             api.CallArrived(
@@ -505,8 +553,7 @@
         answered_on = None
         if request is None:
             # Also a give-up that crosses the final answer: the broker still knows the id and does nothing.
-            connection.open_set_ups.pop(message.tag, None)
-            connection.update_in_use()
+            connection.remove_set_up(message.tag)
             self.releases.settle(message.tag, connection)
             self.broker.release_unknown(message.tag)
         else:
@@ -573,8 +620,7 @@
         connection = self.connections.get(request.connection_id)
         if connection is None or connection.open_set_ups.get(request.id) is not request:
             return None
-        del connection.open_set_ups[request.id]
-        connection.update_in_use()
+        connection.remove_set_up(request.id)
         return connection
 
     def _send_final(self, request: Request, message: Message) -> None:
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -26,6 +26,7 @@
 
 MAX_LINE_BYTES = 16 * 1024
 LINES_PER_ITERATION = 50  # handled on one connection per event-loop iteration
+LINE_OVERHEAD_BYTES = 256  # the objects that a waiting line needs besides its bytes
 TAG_PATTERN = re.compile(r"[0-9a-fA-F]{16}\Z")
 TEXT_OPTIONS = ("class", "key", "extras", "tenant", "load", "note")  # `opts` that must be JSON strings
 # Find the id and the kind of a line before it is parsed, or although it can't be.
@@ -161,6 +162,10 @@
         """Whether an incomplete line is buffered."""
         return bool(self._partial_line)
 
+    def partial_bytes(self) -> int:
+        """The length of the incomplete line."""
+        return len(self._partial_line)
+
 
 class LineConnection(protocol.Protocol):
     """Base class of connections that carry lines.
@@ -202,22 +207,35 @@
             self._pending_bytes += sum(len(line) for line, _ in lines)
             if self._next_iteration is None:
                 self._handle_lines()
-            else:
-                self._limit_read_ahead()
+            self.on_held_bytes_changed()
+            self._limit_read_ahead()
             if self.alive and not self.closing:
                 self.on_read()
 
-    def _handle_lines(self, max_lines: int = LINES_PER_ITERATION) -> None:
-        """Handles up to `max_lines` lines, then yields to other connections and limits the read-ahead.
+    def _handle_lines(self) -> None:
+        """Handles up to LINES_PER_ITERATION lines, then yields to other connections.
 
         Guards against a peer that writes at full speed and would starve all others."""
-        while self._pending_lines and max_lines and self._may_handle():
-            max_lines -= 1
-            line, oversize = self._pending_lines.popleft()
-            self._pending_bytes -= len(line)
-            self._handle_line(line, oversize)
+        lines_left = LINES_PER_ITERATION
+        while self._pending_lines and lines_left and self._may_handle():
+            lines_left -= 1
+            self._handle_next_line()
         self.resume_handling()
-        self._limit_read_ahead()
+
+    def _handle_all_lines(self) -> None:
+        """Handles all lines that wait, at the end of the connection."""
+        while self._pending_lines and self._may_handle():
+            self._handle_next_line()
+
+    def _handle_next_line(self) -> None:
+        line, oversize = self._pending_lines.popleft()
+        self._pending_bytes -= len(line)
+        self._handle_line(line, oversize)
+
+    def held_input_bytes(self) -> int:
+        """What is held of the input that is not handled yet, in bytes."""
+        overhead = LINE_OVERHEAD_BYTES * len(self._pending_lines)
+        return self.splitter.partial_bytes() + self._pending_bytes + overhead
 
     def _may_handle(self) -> bool:
         return self.alive and not self.closing and (self.peer_closed or not self.write_blocked)
@@ -228,19 +246,24 @@
             self._next_iteration = self.deadlines.set(self.clock.now(), self._on_next_iteration)
 
     def _limit_read_ahead(self) -> None:
-        if self._pending_lines and self.alive and self._pending_bytes >= self.read_ahead_bytes:
+        if self.alive and not self.may_read_ahead():
             self.transport.pauseProducing()
 
     def _on_next_iteration(self) -> None:
         self._next_iteration = None
         self._handle_lines()
+        self.on_held_bytes_changed()
         if self.alive:
             self.resume_reading()
             self.on_read()
 
+    def may_read_ahead(self) -> bool:
+        """Whether more may be read: not while too much waits to be handled."""
+        return not self._pending_lines or self._pending_bytes < self.read_ahead_bytes
+
     def resume_reading(self) -> None:
         """Resumes reading, unless too much still waits to be handled."""
-        if not self._pending_lines or self._pending_bytes < self.read_ahead_bytes:
+        if self.may_read_ahead():
             self.transport.resumeProducing()
 
     def _handle_line(self, line: bytes, oversize: bool) -> None:
@@ -261,7 +284,7 @@
             self._next_iteration.cancel()
         self.peer_closed = True
         # A release that was read before the connection closed still counts.
-        self._handle_lines(len(self._pending_lines))
+        self._handle_all_lines()
         self.alive = False
         self._pending_lines.clear()
         self.released()
@@ -292,6 +315,9 @@
         """Called with lines just read, before any is handled; returns those to be queued."""
         return lines
 
+    def on_held_bytes_changed(self) -> None:
+        """Called after data was read or lines were handled; the connection may be closed in it."""
+
     def on_open(self) -> None:
         """Called when the connection is established."""
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -123,6 +123,19 @@
                 self.close(admission)
             case "set_buffered":
                 assert self.gate.set_buffered(admission, count) == (count <= 300)
+                self.check_shed_largest()
+
+    def check_shed_largest(self) -> None:
+        """Over the limit of all bytes, those that hold most are closed, and no more than are needed."""
+        held = dict(self.gate.buffers.by_number)
+        shed = self.gate.shed_largest()
+        total = sum(held.values())
+        for admission in shed:
+            assert total > self.limits.buffered_bytes, "closed although the limit is kept"
+            assert held[admission.number] == max(held.values()), "closed before one that holds more"
+            total -= held.pop(admission.number)
+            del self.open[admission.number]
+        assert total == self.gate.buffers.total <= self.limits.buffered_bytes
 
     @rule(address=st.sampled_from(ADDRESSES))
     def offends(self, address: str) -> None:
@@ -220,6 +233,15 @@
         config.read(record)
 
 
+@pytest.mark.parametrize("value", [0, -1, "192", True])
+def test_a_bad_memory_limit_is_named(value: object) -> None:
+    record = {**platform(), "limits": {"memory_mb": value}}
+    with pytest.raises(jsonschema.ValidationError):
+        jsonschema.validate(record, SCHEMA)
+    with pytest.raises(config.ConfigError, match=r"^limits\.memory_mb"):
+        config.read(record)
+
+
 def test_the_schema_names_what_the_reader_of_admission_knows() -> None:
     fields = {item.name: item.default for item in dataclasses.fields(Limits) if item.name != "connections"}
     named = SCHEMA["properties"]["admission"]["properties"]
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -2,9 +2,46 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import pytest
+
 from tests import diameter, test_diameter, test_platform
-from tests.diameter import DiameterWorld
-from tests.scenario import platform, play
+from tests.diameter import DiameterActor, DiameterWorld
+from tests.scenario import Actor, World, platform, play
+
+MEMORY_MB = 4.0
+HELD_BYTES = 1024 * 1024  # a quarter of it, README: "a quarter of `limits.memory_mb`"
+CROWD = 24
+FRONTS = ("platform", "diameter")
+
+
+def world_of(front: str) -> World:
+    """An agent with little memory; where the front has peers, the members of the crowd are configured."""
+    record: dict[str, Any] = platform() if front == "platform" else diameter.config()
+    record["limits"] = {"sockets": 128, "memory_mb": MEMORY_MB}
+    if front == "platform":
+        return play("expect c1 nothing", record)
+    record["diameter"]["clients"] += [f"c{number}" for number in range(10, 10 + CROWD)]
+    return play("expect c1 nothing", record, DiameterWorld)
+
+
+def crowd(world: World) -> list[Actor]:
+    """Many clients, connected."""
+    kind = DiameterActor if isinstance(world, DiameterWorld) else Actor
+    found = [kind(world, f"c{number}") for number in range(10, 10 + CROWD)]
+    for actor in found:
+        world.accept(actor)
+    world.settle()
+    return found
+
+
+def set_up(world: World, number: int, blob_bytes: int = 3) -> str:
+    """The text of a set-up, as the actors of this world send it."""
+    if isinstance(world, DiameterWorld):
+        data = "78" * blob_bytes
+        return f"CCR-I {number:016x} wait=9000 with=70000:0:{data}"
+    return f"START {number:016x} class=race left=3000 blob={'x' * blob_bytes}"
 
 
 def test_an_established_call_does_not_hold_its_description() -> None:
@@ -15,3 +52,54 @@
     ):
         (request,) = world.agent.broker.requests
         assert len(request.description) == 0
+
+
+@pytest.mark.parametrize("front", FRONTS)
+def test_large_set_ups_of_many_clients_stay_within_the_limit(front: str) -> None:
+    # Guards against a process that is killed for its memory because many clients send large set-ups at once.
+    world = world_of(front)
+    clients = crowd(world)
+    for number in range(20 * CROWD):
+        clients[number % CROWD].send(set_up(world, number + 256, 12_000))
+    world.settle()
+    broker = world.agent.broker
+    assert sum(len(request.description) for request in broker.requests) <= HELD_BYTES
+    assert 0 < world.agent.gate.buffers.total <= HELD_BYTES
+    # A usual client still has room.
+    world.step(f"send c2 {set_up(world, 1)}")
+    assert broker.find_request(f"{1:016x}") is not None
+    for actor in clients:
+        actor.close("")
+    world.step("close c2")
+    world.wait(70_000.0)
+    assert world.agent.gate.buffers.total == 0 and not broker.open_count
+
+
+@pytest.mark.parametrize("front", FRONTS)
+def test_input_of_many_clients_that_do_not_read_stays_within_the_limit(front: str) -> None:
+    # Guards against lines and messages that wait, in part or whole, behind many clients that read nothing.
+    world = world_of(front)
+    clients = crowd(world)
+    world.step(f"send c2 {set_up(world, 1)}")
+    for actor in clients:
+        actor.wires[0].other.producer.pauseProducing()
+    text = set_up(world, 2, 15_000)
+    for _ in range(4):
+        for actor in clients:
+            if actor.wires:
+                actor.wires[0].write(actor.encode(text))
+        world.settle()
+    for actor in clients:
+        if actor.wires:
+            actor.wires[0].write(actor.encode(text)[:-100])
+    world.settle()
+    held = sum(len(line) for conn in world.agent.side.front.connections for line in waiting(conn))
+    assert held <= HELD_BYTES and world.agent.gate.buffers.total <= HELD_BYTES
+    assert world.actors["c2"].wires, "a usual client was closed"
+
+
+def waiting(connection: Any) -> list[bytes]:
+    """The lines or messages that a connection has read and not handled."""
+    if hasattr(connection, "_pending_lines"):
+        return [line for line, _ in connection._pending_lines]
+    return list(connection._pending_frames)
