--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 import pytest
 
+from frostport.core.deadlines import Deadlines
 from tests import diameter, test_diameter, test_platform
 from tests.diameter import DiameterActor, DiameterWorld
 from tests.scenario import Actor, World, platform, play
@@ -131,6 +133,20 @@
     )
 
 
+def test_cancelled_deadlines_are_not_kept_until_their_time() -> None:
+    # Guards against set-ups that are given up at once and leave their deadlines behind for up to 90 s.
+    ran: list[float] = []
+    deadlines = Deadlines()
+    for number in range(10_000):
+        deadlines.set(90_000.0 + number, lambda: ran.append(0.0)).cancel()
+    kept = [deadlines.set(at, partial(ran.append, at)) for at in (3.0, 1.0, 2.0)]
+    kept[2].cancel()
+    kept[2].cancel()
+    assert len(deadlines._heap) < 200 and len(deadlines) == 2
+    deadlines.run(100_000.0)
+    assert ran == [1.0, 3.0] and not len(deadlines)
+
+
 def waiting(connection: Any) -> list[bytes]:
     """The lines or messages that a connection has read and not handled."""
     if hasattr(connection, "_pending_lines"):
