Budgets keep at most 10,000 teams, and forget the one not used for longest

Cause: above 1,000 buckets each set-up looked through all of them for full ones; with a budget of 0.2 a second none is full for 5 s. 4,000 names: 4,000 buckets, 1.33 ms for each set-up.

Change: an ordered table of at most 10,000; the bucket not used for longest goes, and its record with it.

Tests: one new, red before (2,001 buckets of 1,000).

--- a/frostport/core/contracts.py
+++ b/frostport/core/contracts.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import math
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -18,7 +19,7 @@
 EXTENSION = "x-frostport-contract"
 HTTP_METHODS = ("get", "put", "post", "delete", "options", "head", "patch", "trace")
 FIELDS = ("class", "aim_ms", "deadline_ms", "attempts", "set_ups_per_second")
-MAX_BUCKETS = 1000  # above this number, full buckets are removed
+MAX_BUCKETS = 10_000  # above this number, the one not used for longest is removed: its team starts anew
 BURST_SECONDS = 1.0  # a team may spend the budget of this many seconds at once
 # The share of agents that are out of service goes to the others, up to MAX_SCALE times their own.
 SCALE_STEP_PER_SECOND = 0.1
@@ -134,9 +135,8 @@
     def __init__(self, contracts: Iterable[Contract] = ()) -> None:
         self.recorder = Recorder()
         self.contracts = {contract.service: contract for contract in contracts}
-        self._buckets: dict[
-            tuple[str, str], tuple[float, float]
-        ] = {}  # (team, service) -> tokens, counted at (ms)
+        # (team, service) -> tokens, counted at (ms); the one not used for longest first
+        self._buckets: OrderedDict[tuple[str, str], tuple[float, float]] = OrderedDict()
         self.scale = 1.0  # multiple of the contracts' rates
         self._scaled_at = -math.inf  # when the scale was last set, ms
 
@@ -149,13 +149,11 @@
         capacity = max(1.0, rate * BURST_SECONDS)
         tokens, at = self._buckets.get((team, service), (capacity, now))
         tokens = min(capacity, tokens + (now - at) / 1000.0 * rate)
-        if len(self._buckets) >= MAX_BUCKETS:
-            self._prune(now)
         if tokens >= 1.0:
-            self._buckets[team, service] = (tokens - 1.0, now)
+            self._set_bucket(team, service, (tokens - 1.0, now))
             self.recorder.record_budget(team, service, tokens - 1.0, now)
             return 0.0
-        self._buckets[team, service] = (tokens, now)
+        self._set_bucket(team, service, (tokens, now))
         return (1.0 - tokens) / rate * 1000.0
 
     def set_scale(self, wanted: float, now: float) -> None:
@@ -171,27 +169,24 @@
         wanted = min(MAX_SCALE, max(1.0, wanted))
         self.scale += max(-room, min(room, wanted - self.scale))
 
-    def _prune(self, now: float) -> None:
-        """Removes buckets that are full again, as clients can make up any number of team names."""
-        rates = {service: contract.set_ups_per_second for service, contract in self.contracts.items()}
-        self._replace_buckets(
-            {
-                key: (tokens, at)
-                for key, (tokens, at) in self._buckets.items()
-                if tokens + (now - at) / 1000.0 * rates[key[1]] < max(1.0, rates[key[1]] * BURST_SECONDS)
-            }
-        )
+    def _set_bucket(self, team: str, service: str, bucket: tuple[float, float]) -> None:
+        """Stores a bucket; their number is limited, since clients can make up any number of team names."""
+        self._buckets[team, service] = bucket
+        self._buckets.move_to_end((team, service))
+        if len(self._buckets) > MAX_BUCKETS:
+            oldest, _ = self._buckets.popitem(last=False)
+            self.recorder.clear_budget(*oldest)
 
-    def _replace_buckets(self, buckets: dict[tuple[str, str], tuple[float, float]]) -> None:
+    def _replace_buckets(self, buckets: Mapping[tuple[str, str], tuple[float, float]]) -> None:
         for team, service in self._buckets.keys() - buckets.keys():
             self.recorder.clear_budget(team, service)
-        self._buckets = buckets
+        self._buckets = OrderedDict(buckets)
 
     def restore(self, buckets: Mapping[tuple[str, str], tuple[float, float]]) -> None:
         """Restores the buckets from before a restart: (team, service) -> tokens, counted at (ms).
 
         Buckets of services that have no contract any more are dropped."""
-        self._buckets = dict(buckets)
+        self._buckets = OrderedDict(buckets)
         self._replace_buckets({key: bucket for key, bucket in buckets.items() if key[1] in self.contracts})
 
     def replace_contracts(self, contracts: Iterable[Contract]) -> None:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -14,7 +14,7 @@
 
 from frostport import cli, config, version
 from frostport.core import contracts
-from frostport.core.contracts import Budgets, Contract, ContractError
+from frostport.core.contracts import MAX_BUCKETS, Budgets, Contract, ContractError
 from tests import diameter
 from tests.scenario import SETTINGS, World, lines, platform, play
 from tests.test_platform import SCENARIOS
@@ -244,3 +244,16 @@
         for part in reference.split("/"):
             found = found[part]
         assert found
+
+
+def test_ever_new_team_names_take_neither_memory_nor_time() -> None:
+    # Guards against clients that make up team names: buckets of a small budget are not full for long.
+    budgets = Budgets([Contract("race", 1500.0, 9000.0, 4, 0.1)])
+    cleared: list[str] = []
+    budgets.recorder.clear_budget = lambda team, service: cleared.append(team)  # type: ignore[method-assign]
+    assert budgets.take_token("usual", "race", 0.0) == 0.0
+    for number in range(2 * MAX_BUCKETS):
+        assert budgets.take_token(f"team-{number}", "race", number / 100.0) == 0.0
+        assert budgets.take_token("usual", "race", number / 100.0) > 0.0, "a team in use was forgotten"
+    assert len(budgets._buckets) <= MAX_BUCKETS
+    assert len(cleared) + len(budgets._buckets) == 2 * MAX_BUCKETS + 1
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from frostport.core.deadlines import Deadlines
+from frostport.net.front import ClientConnection
 from tests import diameter, test_diameter, test_platform
 from tests.diameter import DiameterActor, DiameterWorld
 from tests.scenario import Actor, World, platform, play
@@ -138,6 +139,7 @@
     # Guards against lines of a byte or none, each an object that waits, and against the time that they take.
     world = play("send c1 ECHO 1 rc=0", platform())
     (connection,) = world.agent.side.front.connections
+    assert isinstance(connection, ClientConnection)
     assert len(connection.splitter.feed(junk * 20_000)) <= 1
     world.step("send c2 ECHO 1 rc=0")
     world.step("expect c2 ECHOED 1")
