Diameter: ids and sessions of calls that are over are bounded in bytes

Cause: up to 20,000 ids of ended calls are remembered whatever their length; each ended session was kept for a minute, with a timer of its own, whatever their number.

Change: Session-Ids of over 512 bytes are refused with 5014. ended_sessions.py keeps what is needed for duplicates: a minute, 8 MiB in all, the oldest go first, one timer.

Tests: two new; the scenario was red before, the other is of the new module.

--- a/frostport/diameter/avp.py
+++ b/frostport/diameter/avp.py
@@ -262,6 +262,11 @@
     return None
 
 
+def held_bytes(avps: Iterable[Avp]) -> int:
+    """The memory that AVPs need, in bytes."""
+    return sum(AVP_OVERHEAD_BYTES + len(avp.data) for avp in avps)
+
+
 @dataclass(slots=True)
 class Message:
     """One Diameter message; `command` is its Command Code, `application` its Application-ID."""
@@ -290,7 +295,7 @@
 
     def held_bytes(self) -> int:
         """The memory that the AVPs need, in bytes."""
-        return sum(AVP_OVERHEAD_BYTES + len(avp.data) for avp in self.avps)
+        return held_bytes(self.avps)
 
     def encode(self) -> bytes:
         """Encodes the header and all AVPs."""
--- a/frostport/diameter/front.py
+++ b/frostport/diameter/front.py
@@ -20,12 +20,14 @@
 from frostport.core.lifecycle import Lifecycle
 from frostport.diameter import avp
 from frostport.diameter.avp import Avp, Message, make
+from frostport.diameter.ended_sessions import EndedSessions
 from frostport.diameter.peer import DiameterNode, Identity, Peer, PeerConnection
 from frostport.interface import Outcome
 
 log = logging.getLogger("frostport.diameter.front")
 
-ANSWER_KEEP_MS = 60_000.0  # how long the answer is kept for duplicates of a set-up whose call is over
+MAX_SESSION_ID_BYTES = 512
+SESSION_OVERHEAD_BYTES = 1024  # the objects of a session that is kept
 RELEASE_KEEP_MS = 60_000.0  # how long a release is kept for a client that does not confirm it
 MAX_WAIT_FACTOR = 10.0  # Maximum-Wait-Time may be up to this many times the deadline of the class
 MAX_WAITING_DUPLICATES = 8  # of one set-up, until its answer
@@ -76,7 +78,7 @@
 
 @dataclass(slots=True, eq=False)
 class Session:
-    """One call as its client sees it. It is kept for ANSWER_KEEP_MS after the call, to answer duplicates.
+    """One call as its client sees it. It is kept for some time after the call, to answer duplicates.
 
     `answer` is the Result-Code and the AVPs of the final answer."""
 
@@ -89,6 +91,11 @@
     answered_on: PeerConnection | None = None  # the connection on which the answer was sent last
     release_held: bool = False  # the ASR is held back, so that a duplicate gets the answer first
 
+    def held_bytes(self, call: str) -> int:
+        """The memory that it needs under its call's id once the call is over, in bytes."""
+        answer = () if self.answer is None else self.answer[1]
+        return SESSION_OVERHEAD_BYTES + len(call) + avp.held_bytes(answer)
+
 
 @dataclass(slots=True)
 class PendingRelease:
@@ -130,6 +137,7 @@
         self.closed_by_peer = closed_by_peer
         self.connections_by_admission: dict[int, PeerConnection] = {}
         self.sessions: dict[str, Session] = {}
+        self.ended_sessions = EndedSessions(broker.clock, broker.deadlines, self._remove_session)
         self.pending_releases: dict[str, PendingRelease] = {}  # not confirmed yet, by call
         self.aborts_sent: dict[int, str] = {}  # Hop-by-Hop Identifier of an unanswered ASR -> call
         # OC-Sequence-Number; begins with the time in ms, above those sent before a restart
@@ -174,7 +182,7 @@
         return 0
 
     def _carries_calls(self, client: str) -> bool:
-        """Whether a client has a call that is not over, or one that ended less than ANSWER_KEEP_MS ago."""
+        """Whether a client has a call that is not over, or one that ended not long ago."""
         return any(session.client == client for session in self.sessions.values())
 
     # Held bytes
@@ -234,6 +242,14 @@
         if message.command != avp.CC:
             connection.reply(message, avp.COMMAND_UNSUPPORTED, error=f"command {message.command}")
             return
+        if len(str(message.get(avp.SESSION_ID))) > MAX_SESSION_ID_BYTES:
+            connection.reply(
+                message,
+                avp.INVALID_AVP_LENGTH,
+                error=f"Session-Id: over the limit of {MAX_SESSION_ID_BYTES} bytes",
+                failed=Avp(avp.SESSION_ID.code, b"", 0, avp.MANDATORY).encode(),
+            )
+            return
         match message.get(avp.CC_REQUEST_TYPE):
             case avp.INITIAL:
                 self.handle_initial(connection, message)
@@ -558,7 +574,7 @@
         session.answer = (results.get(answer, avp.UNABLE_TO_COMPLY), avp.read_avps(body))
         self.sessions[call] = session
         if over_at is not None:
-            self.deadlines.set(over_at + ANSWER_KEEP_MS, lambda: self._remove_session(call, session))
+            self.ended_sessions.add(call, session, session.held_bytes(call), over_at)
 
     def _expire_release(self, call: str) -> None:
         """Forgets a release after RELEASE_KEEP_MS: its client may never answer the ASR."""
@@ -580,10 +596,10 @@
             self._schedule_removal(request.id)
 
     def _schedule_removal(self, call: str) -> None:
-        """Removes the session after ANSWER_KEEP_MS: duplicates may still be in transit."""
+        """Removes the session some time later: duplicates may still be in transit."""
         session = self.sessions.get(call)
         if session is not None:
-            self.deadlines.set(self.clock.now() + ANSWER_KEEP_MS, lambda: self._remove_session(call, session))
+            self.ended_sessions.add(call, session, session.held_bytes(call), self.clock.now())
 
     def _drop_session(self, call: str, session: Session) -> None:
         """Forgets a session that waits for its answer, which will not be sent."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from frostport.core.clock import ManualClock
 from frostport.core.deadlines import Deadlines
+from frostport.diameter.ended_sessions import MAX_ENDED_BYTES, EndedSessions
 from frostport.net.front import ClientConnection
 from tests import diameter, test_diameter, test_platform
 from tests.diameter import DiameterActor, DiameterWorld
@@ -166,6 +168,45 @@
     assert ran == [1.0, 3.0] and not len(deadlines)
 
 
+def test_sessions_of_ended_calls_are_kept_for_a_time_and_within_their_limit() -> None:
+    # Guards against refusals at full speed, each of whose sessions is kept for a minute, with a timer.
+    clock = ManualClock(0.0)
+    deadlines = Deadlines()
+    forgotten: list[str] = []
+    ended = EndedSessions[int](clock, deadlines, lambda call, session: forgotten.append(call))
+    for number in range(20_000):
+        ended.add(str(number), number, 1024, clock.now())
+        ended.add(str(number), number, 1024, clock.now())
+    kept = len(ended)
+    assert kept * 1024 == ended.total_bytes <= MAX_ENDED_BYTES < (kept + 1) * 1024
+    assert forgotten == [str(number) for number in range(20_000 - kept)] and len(deadlines) == 1
+    clock.at = 1_000.0
+    ended.add("late", 0, 100, clock.now())
+    clock.at = 60_000.0
+    deadlines.run(clock.now())
+    assert len(ended) == 1 and ended.total_bytes == 100
+    clock.at = 61_000.0
+    deadlines.run(clock.now())
+    assert forgotten[-1] == "late" and not ended.total_bytes and not len(deadlines)
+
+
+def test_a_session_id_that_is_too_long_is_refused() -> None:
+    # Guards against ids of up to 64 KiB, which are remembered after their calls are over.
+    play(
+        f"""
+        send c1 CCR-I {"a" * 512} dest=s0 wait=3000
+        expect s0 CCR-I {"a" * 512}
+        send c1 CCR-I {"b" * 513} dest=s0 wait=3000
+        expect c1 CCA {"b" * 513} result=5014
+        send c1 CCR-T {"b" * 513}
+        expect c1 CCA {"b" * 513} result=5014
+        expect s0 nothing
+        """,
+        diameter.config(),
+        DiameterWorld,
+    )
+
+
 def waiting(connection: Any) -> list[bytes]:
     """The lines or messages that a connection has read and not handled."""
     if hasattr(connection, "_pending_lines"):
