A server that leaves the list is sent the releases of its calls

Cause: UpstreamServer.on_unlisted took every open connection for the gone process's, ended the calls and aborted the connections without a release.

Change: the releases go out on the newest open connection, and the connections are closed once their output is sent, after 1 s at the latest. Why this works: what is open then leads to whoever has the address now.

Tests: three scenarios expect the release before the close, red before. A process replaced in place without a start in the list is still taken for the old one, as before.

--- a/frostport/net/upstream.py
+++ b/frostport/net/upstream.py
@@ -384,14 +384,24 @@
             self.send_pending_releases(self.connections[-1])
 
     def on_unlisted(self) -> None:
-        """Ends everything at a server that has been taken off the list."""
+        """Ends everything at a server that has been taken off the list.
+
+        Another process may have its address by now, and hold some of its calls, set up there before the list
+        named it. Their releases are sent before the connections are closed."""
         self.listed = False
         for tag in self.pending_releases:
             self.broker.recorder.clear_pending_release(self.host, tag)
         self.lag.stop()
         if self.redial_timer is not None:
             self.redial_timer.cancel()
-        self.reset(math.inf, "off the list")
+        lost_calls = self.broker.end_established_calls(self.host, math.inf, "off the list")
+        if self.connections:
+            newest = max(self.connections, key=lambda conn: conn.opened_at)
+            for tag in lost_calls:
+                newest.send_release(tag, jsonl.NORMAL)
+        for connection in list(self.connections):
+            connection.close_after_writes()
+        self._drop_retired()
         if self.dialing is not None:
             self.dialing.cancel()
         waiting, self.waiting_attempts = self.waiting_attempts, []
--- a/frostport/net/upstream_connection.py
+++ b/frostport/net/upstream_connection.py
@@ -19,6 +19,7 @@
     from frostport.net.upstream import UpstreamServer
 
 PARTIAL_LINE_TIMEOUT_MS = 300.0  # for a line that has begun; the connection is abandoned after
+CLOSE_TIMEOUT_MS = 1000.0  # for buffered output to be sent before a connection is aborted
 RELEASE_CONFIRM_MS = 10_000.0  # an unconfirmed release is resent no longer than this
 
 
@@ -90,6 +91,14 @@
         self.drop()
         self.server.connection_closed(self)
 
+    def close_after_writes(self) -> None:
+        """Closes the connection once its buffered output is sent, and resets its open attempts at once."""
+        if self.alive:
+            self.alive = False
+            self.transport.loseConnection()
+            self.deadlines.set(self.clock.now() + CLOSE_TIMEOUT_MS, self.transport.abortConnection)
+        self.server.connection_closed(self)
+
     def send_set_up(self, attempt: Attempt, line: bytes) -> bool:
         """Writes the set-up of an attempt; False if the connection is closed."""
         attempt.route_ref = self.handle
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -612,6 +612,7 @@
         expect s0 START b
         send bus {event(2, host(0, "gone"))}
         expect c1 FINISH a rc=41
+        expect s0 FINISH a rc=16
         expect s0 closed
         wait 560
         expect s1 START b
@@ -620,6 +621,7 @@
     + f"""
         send bus {event(2, host(1), whole=True)}
         expect c1 FINISH a rc=41
+        expect s0 FINISH a rc=16
         expect s0 closed
     """,
     "a restarted server: its earlier calls are over, the old connection is dropped": ESTABLISHED
@@ -629,10 +631,12 @@
         expect c1 FINISH a rc=41
         expect s0 closed
     """,
+    # Guards against calls that live on at another process, though their callers are told that they are over.
     "a new server at the address of a gone one": ESTABLISHED
     + f"""
         send bus {event(2, host(0, "gone"), host(2, dial=0, name="h9"))}
         expect c1 FINISH a rc=41
+        expect s0 FINISH a rc=16
         expect s0 closed
     """,
     "the event bus breaks: asked again from the last event, repeats are skipped": f"""
