A busy connection is not closed for reads that end within a line

What callers saw: a client that sends without pause was closed every 2 s; so would be a Diameter peer, and a busy lobby server's connection after 300 ms, with all set-ups on it reset.

Cause: the time of an incomplete line began with the first read that ended within a line, and only a read that ended at a line's end stopped it.

Change: the splitter counts completed lines; the time begins anew with each, at all three places. It does not count against a client whose lines wait to be handled here.

Tests: three new, red before (19 of 30 lines answered; a fourth dial; a closed peer).

--- a/frostport/diameter/peer.py
+++ b/frostport/diameter/peer.py
@@ -192,9 +192,9 @@
         self._pending_bytes += sum(len(frame) for frame in frames)
         self._handle_frames()
         self.handler.on_held_bytes_changed(self)
-        if not self._splitter.partial:
+        if frames or not self._splitter.partial:
             self._partial_timeout = cancel_if_set(self._partial_timeout)
-        elif self._partial_timeout is None and not self._ignore_input:
+        if self._splitter.partial and self._partial_timeout is None and not self._ignore_input:
             self._partial_timeout = self.deadlines.set(
                 self.clock.now() + PARTIAL_MESSAGE_TIMEOUT_MS, self.drop
             )
--- a/frostport/net/front.py
+++ b/frostport/net/front.py
@@ -67,6 +67,7 @@
         self.unconfirmed_releases: set[str] = set()  # sent on it, not confirmed yet
         self.established_calls: set[str] = set()  # answered on it, not ended yet
         self._timeout: Deadline | None = None
+        self._timed_line = -1  # the number of the incomplete line that `_timeout` limits; -1: it limits none
         self._unhandled_set_ups: set[str] = set()  # read, not handled yet
         self._early_give_ups: Counter[str] = Counter()  # give-ups read for those
 
@@ -85,6 +86,7 @@
     def _set_timeout(self, ms: float | None, then: Callable[[], None] | None = None) -> None:
         if self._timeout is not None:
             self._timeout.cancel()
+        self._timed_line = -1
         self._timeout = None if ms is None else self.deadlines.set(self.clock.now() + ms, then or self.drop)
 
     def on_close(self) -> None:
@@ -214,8 +216,19 @@
         if not self.splitter.partial:
             if self.identified and not self.write_blocked:
                 self._set_timeout(None)
-        elif self._timeout is None:
-            self._set_timeout(PARTIAL_LINE_TIMEOUT_MS, self.close_gracefully)
+        elif self._timeout is None or (
+            self.identified and not self.write_blocked and self._timed_line < self.splitter.completed
+        ):
+            self._set_timeout(PARTIAL_LINE_TIMEOUT_MS, self._on_partial_line_timeout)
+            self._timed_line = self.splitter.completed
+
+    def _on_partial_line_timeout(self) -> None:
+        """Closes the connection, unless this process has not read on since: it had lines to handle first."""
+        self._timeout = None
+        if self._pending_lines:
+            self.on_read()
+        else:
+            self.close_gracefully()
 
     def on_line(self, line: bytes) -> None:
         """Handles one message. Raises BadLineError if it is malformed, or its verb or a value not allowed."""
--- a/frostport/net/jsonl.py
+++ b/frostport/net/jsonl.py
@@ -153,6 +153,7 @@
         self._least_bytes = least_bytes
         self._partial_line = b""
         self._blank_lines = 0  # in a row, up to now
+        self.completed = 0  # lines so far: while it stays, an incomplete line is the same one
         self.ended = False
 
     def feed(self, data: bytes) -> list[ReadLine]:
@@ -161,6 +162,7 @@
         if self.ended:
             return lines
         *complete, self._partial_line = (self._partial_line + data).split(b"\n")
+        self.completed += len(complete)
         for line in complete:
             if line and not line.isspace():
                 lines.append(self._check(line))
--- a/frostport/net/upstream_connection.py
+++ b/frostport/net/upstream_connection.py
@@ -43,6 +43,7 @@
         # Call -> cause and when the release was sent, ms; oldest first.
         self.unconfirmed_releases: OrderedDict[str, tuple[int, float]] = OrderedDict()
         self._partial_line_timer: Deadline | None = None
+        self._timed_line = -1  # the number of the incomplete line that it limits
 
     def on_open(self) -> None:
         self.server.connection_opened(self)
@@ -73,10 +74,11 @@
 
     def on_read(self) -> None:
         """Sets the time-out of a partial line, or cancels it once the line is complete."""
-        if self._partial_line_timer is not None and not self.splitter.partial:
+        if self._partial_line_timer is not None and self._timed_line < self.splitter.completed:
             self._partial_line_timer.cancel()
             self._partial_line_timer = None
-        elif self.splitter.partial and self._partial_line_timer is None:
+        if self.splitter.partial and self._partial_line_timer is None:
+            self._timed_line = self.splitter.completed
             # Guards against a truncated line, behind which nothing more would be read.
             self._partial_line_timer = self.deadlines.set(
                 self.clock.now() + PARTIAL_LINE_TIMEOUT_MS, self.abandon
--- a/tests/test_diameter.py
+++ b/tests/test_diameter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from frostport.diameter import avp
@@ -534,3 +536,19 @@
         {**config(), "operator": "127.0.0.1:3"},
         DiameterWorld,
     )
+
+
+def test_a_peer_whose_reads_all_end_within_a_message_is_not_closed() -> None:
+    # Guards against a busy peer that is closed after 2 s, though each of its messages is complete in time.
+    world = play("send c1 DWR", config(), DiameterWorld)
+    wire = world.actors["c1"].wires[0]
+    data = [world.actors["c1"].encode("DWR") for _ in range(31)]
+    wire.write(data[0][:30])
+    for before, after in itertools.pairwise(data):
+        world.settle()
+        world.wait(100.0)
+        wire.write(before[30:] + after[:30])
+    world.settle()
+    assert wire.open
+    world.wait(2_001.0)
+    assert not wire.open
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -827,6 +827,42 @@
     assert len(world.actors["c2"].inbox) == 2 * LINES_PER_ITERATION + 1 and not wire.paused
 
 
+def test_a_client_whose_reads_all_end_within_a_line_is_not_closed() -> None:
+    # Guards against a busy client that is closed after 2 s, though each of its lines is complete in time.
+    world = play("expect c1 nothing", platform())
+    world.accept(world.actors["c1"])
+    line = world.actors["c1"].encode("ECHO 2 rc=0")
+    wire = world.actors["c1"].wires[0]
+    wire.write(line[:10])
+    for _ in range(30):
+        world.settle()
+        world.wait(100.0)
+        wire.write(line[10:] + line[:10])
+    world.settle()
+    assert sum(received[""] == "ECHOED" for received in world.actors["c1"].inbox) == 30
+    world.wait(2_001.0)
+    world.step("expect c1 any closed")
+
+
+def test_a_server_whose_reads_all_end_within_a_line_is_not_abandoned() -> None:
+    # The same for a busy server: its set-ups would be reset.
+    world = play(SET_UP, platform())
+    dials = world.dials
+    line = world.actors["s0"].encode("ECHO 2 rc=0")
+    wire = world.actors["s0"].wires[0]
+    wire.write(line[:10])
+    for _ in range(30):
+        world.settle()
+        world.wait(50.0)
+        wire.write(line[10:] + line[:10])
+    world.settle()
+    wire.write(line[10:])
+    world.settle()
+    assert world.dials == dials
+    world.step("send s0 STARTED a blob=x")
+    world.step("expect c1 STARTED a")
+
+
 def test_at_the_limit_silent_connections_are_evicted_and_those_with_open_set_ups_stay() -> None:
     world = play(SET_UP, platform())
     factory = world.reactor.factory
