--- a/frostport/admission/gate.py
+++ b/frostport/admission/gate.py
@@ -191,7 +191,8 @@
         if admission.number not in self.admissions:
             return True
         within_limit = self.buffers.set(admission.number, count)
-        self._update_load()
+        if self.limits.ladder:
+            self._update_load()
         return within_limit
 
     def may_hold(self, admission: Admission, count: int) -> bool:
--- a/frostport/admission/resources.py
+++ b/frostport/admission/resources.py
@@ -79,7 +79,7 @@
 
 # A connection may hold up to the free bytes divided by this. However many connections hold all that they may,
 # this part of one such connection's bytes is left for others (dynamic thresholds, Choudhury and Hahne, 1998).
-FREE_BYTES_DIVISOR = 8
+FREE_BYTES_DIVISOR = 4
 
 
 class Buffers:
--- a/frostport/net/client_releases.py
+++ b/frostport/net/client_releases.py
@@ -23,7 +23,7 @@
 from frostport.net.jsonl import Message
 
 if TYPE_CHECKING:
-    from frostport.net.front import ClientConnection
+    from frostport.net.client_connection import ClientConnection
 
 log = logging.getLogger("frostport.releases")
 
@@ -259,7 +259,8 @@
 
     def connection_lost(self, connection: ClientConnection) -> None:
         """Sends what was not confirmed on a closed connection on others."""
-        unconfirmed, connection.unconfirmed_releases = connection.unconfirmed_releases, set()
+        unconfirmed = [call for call in connection.unconfirmed_releases if call in self.pending]
+        connection.unconfirmed_releases.clear()
         for call in unconfirmed:
             self.pending[call].sends.pop(connection.handle, None)
         for call in unconfirmed:
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -10,7 +10,7 @@
 from frostport.core.clock import ManualClock
 from frostport.core.deadlines import Deadlines
 from frostport.diameter.ended_sessions import MAX_ENDED_BYTES, EndedSessions
-from frostport.net.front import ClientConnection
+from frostport.net.client_connection import ClientConnection
 from tests import diameter, test_diameter, test_platform
 from tests.diameter import DiameterActor, DiameterWorld
 from tests.scenario import Actor, World, platform, play
