The event bus is asked from the number of this start, never from one on record

What callers saw: with a store, after a restart or in the new process of an upgrade, set-ups went on to a server that drains for as long as the agent ran.

Cause: events count from 1 at each start of a call agent. ServerList preferred the number on record to that of `known`, asked the bus from it and skipped every event up to it.

Change: a position is a number with its stream (core/event_position.py), and two streams can't be compared. It comes from the configuration alone. The store's `bus` record is no longer written, and dropped when read; the new process of an upgrade does not take it over. The list on record serves only where `known` has no event. The log says from which event the bus is asked.

--- a/frostport/core/recorder.py
+++ b/frostport/core/recorder.py
@@ -100,8 +100,5 @@
     def forget_server(self, address: str) -> None:
         """A server has left the list."""
 
-    def record_bus_position(self, offset: int, version: int) -> None:
-        """The offset of the last event read from the bus, and the version of its list."""
-
     def record_peer(self, host: str, state_id: int | None, started_ms: float) -> None:
         """A Diameter peer's Origin-State-Id, and the time from which it counts as started."""
--- a/frostport/handover.py
+++ b/frostport/handover.py
@@ -120,10 +120,10 @@
     def initial_values(self) -> dict[str, bytes]:
         """Returns the records to start with: all of `next`, and some of the predecessor.
 
-        The latter are the server list, the bus position, the peers and the node; its calls are not among
-        them."""
+        The latter are the server list, the peers and the node; its calls are not among them. Nor is its
+        position at the bus: events count from 1 at each start, this process's too."""
         own = self.engine.take_recovered()
-        tables = (records.SERVER, records.PEER, records.BUS, records.NODE)
+        tables = (records.SERVER, records.PEER, records.NODE)
         theirs = {key: value for key, value in self.follower.values.items() if key.startswith(tables)}
         return {**theirs, **own}
 
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -56,7 +56,7 @@
             raise BadLineError(f"not valid JSON ({len(line)} bytes)") from None
         if isinstance(record, dict):
             self.bus.server_list.apply_event(record)
-            self.bus.dialing.list_event_received(self.bus.server_list.offset, line)
+            self.bus.dialing.list_event_received(self.bus.server_list.position, line)
         elif isinstance(record, bool) or not isinstance(record, int):
             raise BadLineError(
                 f"expected an event (a JSON object) or an integer, got {type(record).__name__}"
@@ -165,9 +165,7 @@
         """Moves to a bus at another address, where the event numbers continue."""
         if address == self.address:
             return
-        log.info(
-            "event bus: address changed to %s, continuing from event %d", address, self.server_list.offset
-        )
+        log.info("event bus: address changed to %s, continuing from %s", address, self.server_list.position)
         self.address = address
         self.disconnect()
         self.start()
@@ -182,7 +180,8 @@
         if self._dial_timer is not None:
             self._dial_timer.cancel()
         self.connections.append(connection)
-        connection.write(b"from %d\n" % self.server_list.offset)
+        log.info("event bus: connected, asking for what follows %s", self.server_list.position)
+        connection.write(b"from %d\n" % self.server_list.position.number)
         self.dialing.connected(LIST_SERVICE)
         self._watch_for_silence(SILENCE_TIMEOUT_MS if len(self.connections) == 1 else ASK_AGAIN_MS)
 
@@ -230,6 +229,6 @@
         is_last_asked = connection is self.connections[-1]
         self.connections.remove(connection)
         if is_last_asked and not self._is_dialing():
-            log.warning("event bus: connection lost, continuing from event %d", self.server_list.offset)
+            log.warning("event bus: connection lost, continuing from %s", self.server_list.position)
             self.dialing.connection_lost(LIST_SERVICE)
             self._redial(REDIAL_MS)
--- a/frostport/net/server_list.py
+++ b/frostport/net/server_list.py
@@ -9,6 +9,7 @@
 
 from frostport import interface as api
 from frostport.core.broker import Broker
+from frostport.core.event_position import EventPosition, new_stream_id
 from frostport.net.jsonl import BadLineError
 from frostport.net.upstream_pool import UpstreamPool
 
@@ -23,61 +24,56 @@
     def __init__(self, broker: Broker, pool: UpstreamPool) -> None:
         self.broker = broker
         self.pool = pool
-        self.offset = 0  # of the last event applied
-        self.unreadable_offset = -1  # of the last event that failed to parse
+        self.position = EventPosition(new_stream_id())  # after the last event applied
+        self.unreadable: EventPosition | None = None  # of the last event that failed to parse
         self.version = 0
         self.entries: dict[str, tuple[api.Server, str]] = {}
 
-    def load_known(self, batch: list[dict[str, Any]], offset: int) -> None:
-        """Loads the events of the configuration, up to number `offset`, and announces the list.
+    def load_known(self, batch: list[dict[str, Any]], number: int) -> None:
+        """Loads the events of the configuration, up to `number`, and announces the list.
 
-        They are ignored if the list on record is newer."""
-        if offset >= self.offset:
+        They belong to this start, so they replace a list on record, which is of an earlier one. Without any
+        the list on record stays until the event bus answers."""
+        if batch:
             self.entries.clear()
-            for event in batch:
-                self.version, is_complete, entries = parse_event(event)
-                if is_complete:
-                    self.entries.clear()
-                self.entries.update({server.address: (server, dial) for server, dial in entries})
-            self.offset = offset
+        for event in batch:
+            self.version, is_complete, entries = parse_event(event)
+            if is_complete:
+                self.entries.clear()
+            self.entries.update({server.address: (server, dial) for server, dial in entries})
+        self.position = self.position.at(number)
         listed = [entry for entry in self.entries.values() if entry[0].state is not api.Lifecycle.GONE]
         self._apply(api.ListKind.PERSISTED, self.version, listed)
-        self.broker.recorder.record_bus_position(self.offset, self.version)
 
-    def resume(self, offset: int, version: int, entries: Iterable[tuple[api.Server, str]]) -> None:
+    def resume(self, entries: Iterable[tuple[api.Server, str]]) -> None:
         """Restores the list on record: servers with their dial addresses."""
-        self.offset = offset
-        self.version = version
         self.entries = {server.address: (server, dial) for server, dial in entries}
 
     def apply_event(self, record: dict[str, Any]) -> None:
         """Applies one event; one already applied is skipped.
 
         Raises BadLineError when it can't be parsed for the first time; the second time it is skipped."""
-        offset = record.get("offset")
-        if isinstance(offset, bool) or not isinstance(offset, int):
-            raise BadLineError(f"offset: expected an integer, got {offset!r:.40}")
-        if offset <= self.offset:
+        number = record.get("offset")
+        if isinstance(number, bool) or not isinstance(number, int):
+            raise BadLineError(f"offset: expected an integer, got {number!r:.40}")
+        position = self.position.at(number)
+        if not self.position.is_before(position):
             return
         if "topology" in record:
             try:
                 version, is_complete, entries = parse_event(record)
             except BadLineError as problem:
-                if offset != self.unreadable_offset:
-                    self.unreadable_offset = offset
+                if position != self.unreadable:
+                    self.unreadable = position
                     raise
                 # Received twice, so the event itself is malformed, not its transmission: asking for it again
                 # would never end.
-                log.error("event %d skipped, received twice and invalid both times: %s", offset, problem)
-                self._advance(offset)
+                log.error("%s skipped, received twice and invalid both times: %s", position, problem)
+                self.position = position
                 return
             self.version = version
             self._apply(api.ListKind.COMPLETE if is_complete else api.ListKind.CHANGES, version, entries)
-        self._advance(offset)
-
-    def _advance(self, offset: int) -> None:
-        self.offset = offset
-        self.broker.recorder.record_bus_position(offset, self.version)
+        self.position = position
 
     def _apply(self, kind: api.ListKind, version: int, entries: list[tuple[api.Server, str]]) -> None:
         log.info(
--- a/frostport/platform_side.py
+++ b/frostport/platform_side.py
@@ -86,12 +86,7 @@
 
     def restore(self, restored: Restored) -> None:
         """Restores the server list, and the pending releases to clients."""
-        if restored.offset >= 0:
-            self.server_list.resume(
-                restored.offset,
-                restored.version,
-                [(server, dial) for server, dial, _ in restored.servers.values() if dial],
-            )
+        self.server_list.resume([(server, dial) for server, dial, _ in restored.servers.values() if dial])
         self.front.releases.resume(restored.pending_ends, restored.recorded_answer)
 
     def restore_pending_releases(self, restored: Restored) -> None:
--- a/frostport/startup_coordinator.py
+++ b/frostport/startup_coordinator.py
@@ -19,6 +19,7 @@
 from frostport.core.clock import Clock, MonotonicClock
 from frostport.core.deadlines import Deadlines
 from frostport.core.dial_policy import LIST_SERVICE, DialPolicy
+from frostport.core.event_position import EventPosition
 from frostport.core.lifecycle import Lifecycle, Phase
 from frostport.interface import Lifecycle as ServerLifecycle
 from frostport.membership.messages import State
@@ -90,7 +91,7 @@
             self.feed = Feed(
                 self.name,
                 self.fleet.config.zone,
-                self._attached_agent.side.server_list.offset,
+                self._attached_agent.side.server_list.position.number,
                 self.settings,
                 self.monotonic.now(),
             )
@@ -220,8 +221,8 @@
                     break
                 except (BadLineError, orjson.JSONDecodeError) as error:
                     log.warning("can't apply a server list event from another agent: %s", error)
-            self._record_list_offset(server_list.offset)
-            self._handle_feed_event(feeding.EventApplied(server_list.offset, line))
+            self._record_list_offset(server_list.position.number)
+            self._handle_feed_event(feeding.EventApplied(server_list.position.number, line))
 
     def _record_list_offset(self, offset: int) -> None:
         if self.fleet is not None and self.feed is not None and offset > self.feed.offset:
@@ -253,7 +254,7 @@
         ]
         return orjson.dumps(
             {
-                "offset": server_list.offset,
+                "offset": server_list.position.number,
                 "topology": {"seq": server_list.version, "whole": True, "hosts": hosts},
             }
         )
@@ -311,9 +312,9 @@
     def list_unchanged(self) -> None:
         self._handle_feed_event(feeding.ServiceDataReceived())
 
-    def list_event_received(self, offset: int, line: bytes) -> None:
-        self._record_list_offset(offset)
-        self._handle_feed_event(feeding.ServiceDataReceived(offset, line))
+    def list_event_received(self, position: EventPosition, line: bytes) -> None:
+        self._record_list_offset(position.number)
+        self._handle_feed_event(feeding.ServiceDataReceived(position.number, line))
 
     # Initial connections to lobby servers
 
@@ -383,7 +384,7 @@
         if feed is not None:
             age = feed.age_ms(now)
             lines.append(
-                f"list {self._attached_agent.side.server_list.offset} {feed.role.value}"
+                f"list {self._attached_agent.side.server_list.position.number} {feed.role.value}"
                 f"{f' by {feed.source}' if feed.source else ''}, the service heard "
                 f"{f'{age:.0f} ms ago' if age < 1e12 else 'never'}; feeds {len(feed.subscribers)}"
             )
--- a/frostport/state/merge.py
+++ b/frostport/state/merge.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 
 from frostport.state import records
-from frostport.state.records import Bucket, Bus, Open, Over, Record, Standing
+from frostport.state.records import Bucket, Open, Over, Record, Standing
 
 STATE_RANK = {Open: 0, Standing: 1, Over: 2}
 
@@ -30,8 +30,6 @@
                 )
         case Bucket(), Bucket():
             return min(one, other, key=lambda record: (record.tokens, -record.at))
-        case Bus(), Bus():
-            return max(one, other, key=lambda record: (record.offset, record.version, record.at))
     return max(one, other, key=lambda record: (record.at, records.encode(record)))
 
 
--- a/frostport/state/recorder.py
+++ b/frostport/state/recorder.py
@@ -240,9 +240,6 @@
     def forget_server(self, address: str) -> None:
         self._drop(SERVER + address)
 
-    def record_bus_position(self, offset: int, version: int) -> None:
-        self._put(records.BUS, records.Bus(offset, version, self.clock.now()))
-
     def record_peer(self, host: str, state_id: int | None, started_ms: float) -> None:
         self._put(
             PEER + host, records.PeerState(-1 if state_id is None else state_id, started_ms, self.clock.now())
--- a/frostport/state/records.py
+++ b/frostport/state/records.py
@@ -89,7 +89,9 @@
 
 
 class Bus(msgspec.Struct, array_like=True):
-    """The offset of the last bus event that was applied, and the version of the server list after it."""
+    """The last event that an earlier start read from the bus. No longer written, and dropped when read.
+
+    Its number counts within that start, so it can't set the position of another one."""
 
     offset: int
     version: int
--- a/frostport/state/recovery.py
+++ b/frostport/state/recovery.py
@@ -63,8 +63,6 @@
     # By team and service: tokens, at.
     budgets: dict[tuple[str, str], tuple[float, float]] = field(default_factory=dict)
     peers: dict[str, tuple[int | None, float]] = field(default_factory=dict)  # by host: state id, started_ms
-    offset: int = -1  # of the last bus event that was applied; -1: none
-    version: int = 0  # of the server list
     state_id: int | None = None  # this node's own Origin-State-Id
     expired_keys: list[str] = field(default_factory=list)  # keys of outdated records, to be deleted
     clock_set_back_ms: float = 0.0  # how far the clock was set back since the last record
@@ -162,8 +160,7 @@
             team, _, service = name.partition(KEY_SEPARATOR)
             restored.budgets[team, service] = (record.tokens, at)
         case records.Bus():
-            restored.offset = record.offset
-            restored.version = record.version
+            return False  # it counts the events of an earlier start
         case records.PeerState():
             restored.peers[name] = (
                 None if record.state_id < 0 else record.state_id,
--- a/tests/restart.py
+++ b/tests/restart.py
@@ -3,6 +3,8 @@
 send agent kill       kills the process; everything that was written is kept
 send agent power      power loss: writes that were not synced may be lost, kept in part or reordered
 send agent start      restarts the agent on the files as they are
+send agent start known=JSON
+                      the same with other events in its configuration (`known`)
 send disk hold        jobs on the store are neither run nor reported as done; `write`: run but not reported;
                       `free`: both again; `full`: every write fails until `roomy`
 send clock MS         moves the clock by MS milliseconds, which may be negative
@@ -14,6 +16,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import orjson
+
 from frostport import config
 from frostport.agent import Agent
 from frostport.durability import Durability
@@ -100,6 +104,9 @@
                 self.kill(how == "power")
             case ["send", "agent", "start"]:
                 self.restart()
+            case ["send", "agent", "start", known] if known.startswith("known="):
+                self.record = {**self.record, "known": orjson.loads(known.removeprefix("known="))}
+                self.restart()
             case ["send", "clock", ms]:
                 self.clock.at += float(ms)
                 return
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -32,7 +32,7 @@
 from standins.lobby import Caller, LobbyServer, Observations, configuration
 from standins.ports import free_ports
 from tests.restart import ScriptedDisk
-from tests.scenario import World, platform, play
+from tests.scenario import World, event, host, platform, play
 from tests.test_loopback import LAUNCH_WITH_FD_5
 from tests.test_sigkill import STORE, cancel_all, end_calls_at_servers, kill_and_wait, stop_callers
 
@@ -232,6 +232,29 @@
     )
 
 
+class UpgradeAfterEvents(HandoverWorld):
+    """The predecessor, of an earlier version, has recorded a number of its own count of the events."""
+
+    def make_agent(self) -> Agent:
+        self.old.append([(records.BUS, records.encode(records.Bus(5, 5, self.clock.now())))])
+        return super().make_agent()
+
+
+def test_the_successor_counts_the_events_of_its_own_start(tmp_path: pathlib.Path) -> None:
+    """Guards against a new process that asks the bus from the old one's number and passes over a drain."""
+    script = f"""
+        expect bus from 1
+        send bus {event(2, host(0, "draining"))}
+        wait 2001
+        send old ends
+        wait 200
+        send c1 START a class=race left=8000 extras=dest:0 blob=x
+        expect s1 START a
+        expect s0 nothing
+    """
+    play(script, {**platform(), "store": {"path": str(tmp_path / "s.store")}}, UpgradeAfterEvents)
+
+
 STEPS = (
     "old, before the new one is ready",
     "new, before it is ready",
--- a/trials/play.py
+++ b/trials/play.py
@@ -90,8 +90,7 @@
     async def _start_agent(self, agent: AgentProcess) -> None:
         if agent.process is not None:
             await agent.process.wait()
-        self.site.refresh_known_servers(agent)
-        await agent.start()
+        await self.site.start_agent(agent)
         await agent.wait_until_ready()
 
     async def _agent_term_early(self, fault: Fault, party: str) -> None:
@@ -99,7 +98,7 @@
         agent.send_signal(signal.SIGKILL)
         assert agent.process is not None
         await agent.process.wait()
-        await agent.start()
+        await self.site.start_agent(agent)
         await asyncio.sleep(EARLY_SIGTERM_S)
         await self._restart_agent(agent, 1)
 
