--- a/frostport/core/dial_policy.py
+++ b/frostport/core/dial_policy.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from frostport.core.event_position import EventPosition
-
 
 class DialPolicy:
     """Connects at once. All times are in ms; targets are `LIST_SERVICE` and the names of lobby servers."""
@@ -43,8 +41,8 @@
     def list_unchanged(self) -> None:
         """The list service has reported that there is no new event."""
 
-    def list_event_received(self, position: EventPosition, line: bytes) -> None:
-        """The list service has sent the event `line`, and with it the list is at `position`."""
+    def list_event_received(self, line: bytes) -> None:
+        """The list service has changed the list by the event `line`."""
 
 
 LIST_SERVICE = "list service"
--- a/frostport/net/bus.py
+++ b/frostport/net/bus.py
@@ -54,14 +54,17 @@
             record = orjson.loads(line)
         except orjson.JSONDecodeError:
             raise BadLineError(f"not valid JSON ({len(line)} bytes)") from None
+        server_list = self.bus.server_list
         if isinstance(record, dict):
-            self.bus.server_list.apply_event(record)
-            self.bus.dialing.list_event_received(self.bus.server_list.position, line)
+            if server_list.apply_event(record):
+                self.bus.dialing.list_event_received(line)
         elif isinstance(record, bool) or not isinstance(record, int):
             raise BadLineError(
                 f"expected an event (a JSON object) or an integer, got {type(record).__name__}"
             )
-        else:
+        elif server_list.complete_up_to(record):
+            self.bus.dialing.list_event_received(server_list.encode_complete())
+        elif server_list.is_of_bus():
             self.bus.dialing.list_unchanged()
 
     def on_malformed(self, problem: BadLineError) -> None:
--- a/frostport/startup/feed.py
+++ b/frostport/startup/feed.py
@@ -4,19 +4,50 @@
 `handle(event, now_ms)` returns the actions to carry out. Times are this agent's own, in ms; messages between
 agents carry ages only, so their clocks need not agree.
 
-Invariants: events are applied in order, each once (S1); an agent whose list is older than `old_ms` looks for
-a newer one, at other agents or at the service itself (S2); a list is never replaced by an older one (S3).
+A feeder numbers the changes of its list in a stream of its own. Those that follow it take each change in
+order and pass it on with the same number. With the stream of another feeder they begin anew, with the
+complete list.
+
+Invariants: the changes of a stream are applied in order, each once (S1); an agent whose list is older than
+`old_ms` looks for a newer one, at other agents or at the service itself (S2); a list is not replaced by a
+complete list that was heard from the service before it (S3).
 """
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import Enum
 
-from frostport.startup.messages import MAX_BATCH_BYTES, FeedUpdate, Message, Subscribe, Unsubscribe
+from frostport.core.event_position import EventPosition
+from frostport.startup.feed_events import (
+    Action,
+    ApplyEvents,
+    ApplySnapshot,
+    Connect,
+    Disconnect,
+    Event,
+    EventApplied,
+    EventRejected,
+    MembersChanged,
+    MessageReceived,
+    Send,
+    SendSnapshot,
+    ServiceConnected,
+    ServiceDisconnected,
+    ServiceHeard,
+    Tick,
+)
+from frostport.startup.messages import (
+    MAX_BATCH_BYTES,
+    VERSION,
+    FeedUpdate,
+    Message,
+    Subscribe,
+    Unsubscribe,
+)
 from frostport.startup.rendezvous import ranked, weight
 from frostport.startup.settings import Settings
 
@@ -25,7 +56,7 @@
 RENEWAL_MS = 4000.0  # a subscription is renewed so often; it expires after three times this
 EXCLUSION_MS = 5000.0  # a feeder that was silent or had an old list is not tried again for this time
 CURRENT_UPDATES = 3  # consecutive current updates after which a standalone agent leaves the list service
-MAX_RETAINED_EVENTS = 1000  # latest events, retained for subscribers that lack them
+MAX_RETAINED_EVENTS = 1000  # latest changes, retained for subscribers that lack them
 # Times `feeders` in each zone: so many agents with a partial view of the fleet may dial the service.
 PARTIAL_VIEW_FACTOR = 3
 
@@ -39,106 +70,29 @@
     STANDALONE = "alone"  # from the service, although it is no feeder: it found none that is of use
 
 
-@dataclass(frozen=True, slots=True)
-class MembersChanged:
-    """The other agents that are up, by name, with their zones."""
-
-    zones: Mapping[str, str]
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceConnected:
-    """The service has accepted this agent's connection."""
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceDisconnected:
-    """The connection to the service was lost or could not be made."""
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceDataReceived:
-    """The service has sent something: an event, or with a negative offset only a keep-alive."""
-
-    offset: int = -1
-    line: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class EventApplied:
-    """An event from another agent is in this agent's list now, or was before."""
-
-    offset: int
-    line: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class MessageReceived:
-    sender: str
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Time has passed."""
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    to: str
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class SendSnapshot:
-    """Send the complete list: the events that `to` lacks are no longer retained."""
-
-    to: str
-
-
-@dataclass(frozen=True, slots=True)
-class ApplyEvents:
-    """Apply these events from another agent to the list; report each with `EventApplied`."""
-
-    events: tuple[bytes, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Connect:
-    """Dial the service, paced for so many agents that may do the same (0: the whole fleet)."""
-
-    dialer_count: int
-
-
-@dataclass(frozen=True, slots=True)
-class Disconnect:
-    """Close the connection to the service, or cancel the dial that is scheduled."""
-
-
-Event = (
-    MembersChanged
-    | ServiceConnected
-    | ServiceDisconnected
-    | ServiceDataReceived
-    | EventApplied
-    | MessageReceived
-    | Tick
-)
-Action = Send | SendSnapshot | ApplyEvents | Connect | Disconnect
-
-
 class Feed:
-    """One agent's part in the distribution. `offset`: the last event of the list that it starts with."""
-
-    def __init__(self, name: str, zone: str, offset: int, settings: Settings, now_ms: float) -> None:
+    """One agent's part in the distribution.
+
+    `stream`: the id of this agent's own stream. `has_list`: it starts with a list of servers."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        stream: str,
+        has_list: bool,
+        settings: Settings,
+        now_ms: float,
+    ) -> None:
         self.name = name
         self.zone = zone
         self.settings = settings
         self.started_at = now_ms
         self.role = Role.WAITING
-        self.offset = offset  # of the last event in the list
-        self.events: deque[tuple[int, bytes]] = deque()  # the retained ones, by offset
-        self.base_offset = offset  # of the last event before the retained ones
+        self.own_position = EventPosition(stream)  # the last one of this agent's own stream
+        self.position = self.own_position  # after the last change of the list, in the stream that it follows
+        self.events: deque[bytes] = deque()  # the retained changes, up to `position`
+        self.initial_list_at = now_ms if has_list else -math.inf
         self.zones: dict[str, str] = {}  # the zone of each other agent
         self.sees_half = False  # the membership shows at least half of the fleet
         self._feeder_order: list[str] = []  # feeders, best first, of this zone and then of the others
@@ -146,11 +100,13 @@
         self.dialer_count = 1  # agents that may dial the service as feeders; more while views are partial
         self.source = ""  # the agent that this one is subscribed to; "": none
         self.connected = self.dialing = False  # to the service
+        self.hears_service = False  # on this connection; the list follows no agent meanwhile
         # When the service last sent something, to this agent or to one on the way here.
         self.service_last_received_at = -math.inf
         self.source_last_received_at = -math.inf
         # The source's role is to be connected to the service, and it is not.
         self.source_lacks_service = False
+        self.source_current = False  # the source's last update was current
         self.subscribed_at = self.heartbeat_at = -math.inf  # when each was last sent
         self.current_updates = 0  # consecutive
         self.excluded: dict[str, float] = {}  # feeders not to be tried, and until when
@@ -159,8 +115,8 @@
         self.outdated_since = now_ms  # start of the time without a current list
 
     def age_ms(self, now: float) -> float:
-        """Returns the time since the last message of the service that this agent knows of, received by itself
-        or by an agent on the way here; infinite: none."""
+        """Returns the time since the last message of the service that the list accounts for, received by this
+        agent or by one on the way here; infinite: none."""
         return now - self.service_last_received_at
 
     def feeders(self) -> list[str]:
@@ -200,22 +156,26 @@
             case ServiceConnected():
                 self.connected = True
                 self.dialing = False
-                self.service_last_received_at = now
                 self._send_heartbeat(now, actions)
             case ServiceDisconnected():
-                self.connected = False
+                self.connected = self.hears_service = False
                 # The connection redials by itself.
                 self.dialing = self.role in (Role.FEEDING, Role.STANDALONE)
                 self._update_source(now, actions)
                 self._send_heartbeat(now, actions)
-            case ServiceDataReceived(offset, line):
+            case ServiceHeard(line):
                 self.service_last_received_at = now
-                if offset >= 0:
-                    self._retain(offset, line, now, actions)
+                self.hears_service = True
+                if self.position.stream != self.own_position.stream:
+                    self._return_to_own_stream()
+                if line:
+                    self._retain(line, now, actions)
                 else:
                     self._send_heartbeat(now, actions)
-            case EventApplied(offset, line):
-                self._retain(offset, line, now, actions)
+            case EventApplied(line):
+                self._retain(line, now, actions)
+            case EventRejected():
+                self._return_to_own_stream()  # the next update is answered by asking for the complete list
             case MessageReceived(sender, message):
                 self._receive(sender, message, now, actions)
             case Tick():
@@ -244,87 +204,132 @@
 
     # To subscribers
 
-    def _retain(self, offset: int, line: bytes, now: float, actions: list[Action]) -> None:
-        """Retains an event that is new in the list, and sends it to the subscribers."""
-        if offset <= self.offset:
-            return
-        previous_offset = self.offset
-        self.offset = offset
-        self.events.append((offset, line))
-        while len(self.events) > MAX_RETAINED_EVENTS:
-            self.base_offset = self.events.popleft()[0]
-        update = self._build_update(previous_offset, (line,), now)
+    def _return_to_own_stream(self) -> None:
+        """Leaves the stream that the list follows. No change leads here from the last own position."""
+        self.own_position = self.own_position.at(self.own_position.number + 1)
+        self._begin_at(self.own_position)
+
+    def _begin_at(self, position: EventPosition) -> None:
+        self.position = position
+        self.events.clear()
+
+    def _retain(self, line: bytes, now: float, actions: list[Action]) -> None:
+        """Retains a change of the list, and sends it to the subscribers."""
+        before = self.position
+        self.position = before.at(before.number + 1)
+        if self.position.stream == self.own_position.stream:
+            self.own_position = self.position
+        self.events.append(line)
+        if len(self.events) > MAX_RETAINED_EVENTS:
+            self.events.popleft()
+        update = self._build_update(before, (line,), now)
         actions += [Send(name, update) for name in self.subscribers]
 
-    def _build_update(self, after_offset: int, events: tuple[bytes, ...], now: float) -> FeedUpdate:
+    def _build_update(
+        self, after: EventPosition, events: tuple[bytes, ...], now: float, is_snapshot: bool = False
+    ) -> FeedUpdate:
         age = self.age_ms(now)
         return FeedUpdate(
-            after_offset,
+            after.number,
             events,
             age if age < math.inf else -1.0,
             self.connected,
             self.role in (Role.FEEDING, Role.STANDALONE),
             pressures=self.pressures,
+            stream=after.stream,
+            is_snapshot=is_snapshot,
         )
 
+    def snapshot_update(self, complete_list: bytes, now: float) -> FeedUpdate:
+        """Returns the message that carries the complete list, given as one event."""
+        return self._build_update(self.position, (complete_list,), now, is_snapshot=True)
+
     def _send_heartbeat(self, now: float, actions: list[Action]) -> None:
         self.heartbeat_at = now
-        update = self._build_update(self.offset, (), now)
+        update = self._build_update(self.position, (), now)
         actions += [Send(name, update) for name in self.subscribers]
 
-    def _answer_subscriber(self, to: str, after_offset: int, now: float, actions: list[Action]) -> None:
-        if after_offset < self.base_offset and after_offset < self.offset:
-            actions.append(SendSnapshot(to))
+    def _answer_subscriber(self, to: str, request: Subscribe, now: float, actions: list[Action]) -> None:
+        after = EventPosition(request.stream, request.after_number)
+        missing = self.position.number - after.number
+        if after.stream != self.position.stream or not 0 <= missing <= len(self.events):
+            unchanged = Send(to, self._build_update(self.position, (), now))
+            actions.append(SendSnapshot(to) if request.complete else unchanged)
             return
         events: list[bytes] = []
         size = 0
-        for offset, line in self.events:
-            if offset > after_offset and size < MAX_BATCH_BYTES:  # it asks again for the remaining ones
+        for line in itertools.islice(self.events, len(self.events) - missing, None):
+            if size < MAX_BATCH_BYTES:  # it asks again for the remaining ones
                 events.append(line)
                 size += len(line)
-        actions.append(Send(to, self._build_update(min(after_offset, self.offset), tuple(events), now)))
+        actions.append(Send(to, self._build_update(after, tuple(events), now)))
 
     # From other agents
 
     def _receive(self, sender: str, message: Message, now: float, actions: list[Action]) -> None:
         match message:
-            case Subscribe(after_offset):
+            case Subscribe() if message.version >= VERSION:
                 self.subscribers[sender] = now + 3.0 * RENEWAL_MS
-                self._answer_subscriber(sender, after_offset, now, actions)
+                self._answer_subscriber(sender, message, now, actions)
             case Unsubscribe():
                 self.subscribers.pop(sender, None)
-            case FeedUpdate():
+            case FeedUpdate() if message.version >= VERSION:
                 self._receive_update(sender, message, now, actions)
 
     def _receive_update(self, sender: str, update: FeedUpdate, now: float, actions: list[Action]) -> None:
-        if update.age_ms >= 0.0:
-            # An update that arrives late must not make the list look older than it is known to be (S3).
-            self.service_last_received_at = max(self.service_last_received_at, now - update.age_ms)
+        current = 0.0 <= update.age_ms < self.settings.old_ms
+        is_better = sender != self.source and current and not self.source_current
+        is_first = self.role is Role.WAITING and sender == self.source and update.age_ms >= 0.0
+        if (is_better and self.role in (Role.WAITING, Role.FED)) or is_first:
+            self._set_role(Role.FED, sender, now, actions)
         if sender == self.source:
             self.source_last_received_at = now
             self.source_lacks_service = update.dials_service and not update.connected
-        current = 0.0 <= update.age_ms < self.settings.old_ms
-        if update.after_offset > self.offset:
-            self._subscribe(sender, now, actions)  # events are missing, or the sender is ahead
-            return
-        if update.events:
-            actions.append(ApplyEvents(update.events))
-            if len(update.events) > 1:
-                self.subscribed_at = -math.inf  # there may be more: asks again with the next tick
+            self.source_current = current
+        if sender == self.source or (self.role is Role.STANDALONE and not self.hears_service):
+            self._follow(sender, update, now, actions)
         if self.role is Role.STANDALONE and not self.is_feeder:
             self.current_updates = self.current_updates + 1 if current else 0
             if self.current_updates >= CURRENT_UPDATES:
                 self._set_role(Role.FED, sender, now, actions)
-        elif self.role is Role.WAITING and sender == self.source and update.age_ms >= 0.0:
-            self.role = Role.FED
-        elif self.role in (Role.WAITING, Role.FED) and not self.source and current:
-            self._set_role(Role.FED, sender, now, actions)
+                self._subscribe(sender, now, actions)
+
+    def _follow(self, sender: str, update: FeedUpdate, now: float, actions: list[Action]) -> None:
+        """Applies what the list lacks of a stream, or asks for it."""
+        after = EventPosition(update.stream, update.after_number)
+        same_stream = after.stream == self.position.stream
+        is_behind = self.position.is_before(after) if same_stream else self._is_newer(update, now)
+        if update.is_snapshot and is_behind:
+            self._begin_at(after)
+            actions.append(ApplySnapshot(update.events[0]))
+        elif is_behind:
+            self._subscribe(sender, now, actions, complete=True)
+            return
+        elif not same_stream:
+            return  # the list follows that stream once the sender has heard the service again
+        elif not update.is_snapshot:
+            events = update.events[self.position.number - after.number :]
+            if events:
+                actions.append(ApplyEvents(events))
+            if len(update.events) > 1:
+                self.subscribed_at = -math.inf  # there may be more: asks again with the next tick
+        if update.age_ms >= 0.0:
+            # An update that arrives late must not make the list look older than it is known to be (S3).
+            self.service_last_received_at = max(self.service_last_received_at, now - update.age_ms)
+
+    def _is_newer(self, update: FeedUpdate, now: float) -> bool:
+        """Whether a complete list was heard from the service after this agent's list."""
+        if update.age_ms < 0.0:
+            return False
+        return now - update.age_ms >= max(self.initial_list_at, self.service_last_received_at)
 
     # Where this agent gets the list from
 
     def _set_role(self, role: Role, source: str, now: float, actions: list[Action]) -> None:
         previous_role = self.role
         self.role = role
+        if self.source != source:
+            self.source_current = False
         if self.source and self.source != source and self.source in self.zones:
             actions.append(Send(self.source, Unsubscribe()))
         self.source = source
@@ -336,14 +341,17 @@
             self.dialing = True
             actions.append(Connect(self.dialer_count if role is Role.FEEDING else 0))
         elif not dials_service and (self.connected or self.dialing):
-            self.connected = self.dialing = False
+            self.connected = self.dialing = self.hears_service = False
             actions.append(Disconnect())
         if previous_role is not role:
             self._send_heartbeat(now, actions)  # subscribers learn of the change at once
 
-    def _subscribe(self, name: str, now: float, actions: list[Action]) -> None:
+    def _subscribe(self, name: str, now: float, actions: list[Action], complete: bool = False) -> None:
         self.subscribed_at = now
-        actions.append(Send(name, Subscribe(self.offset, pressures=self.pressures)))
+        request = Subscribe(
+            self.position.number, pressures=self.pressures, stream=self.position.stream, complete=complete
+        )
+        actions.append(Send(name, request))
 
     def _update_source(self, now: float, actions: list[Action]) -> None:
         """Chooses where this agent gets the list from."""
--- a/frostport/startup_coordinator.py
+++ b/frostport/startup_coordinator.py
@@ -1,7 +1,7 @@
 """Coordinates an agent's cold start with those of the other agents.
 
-Connects the decisions of `frostport.startup` to the event bus, the lobby servers, the link between agents and
-the operators' port. Imported only if the configuration has `startup`. Times are in ms of the monotonic clock.
+Connects the decisions of `frostport.startup` to the event bus, the lobby servers and the operators' port.
+Imported only if the configuration has `startup`. Times are in ms of the monotonic clock.
 """
 
 from __future__ import annotations
@@ -12,22 +12,18 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
-import msgspec
-import orjson
-
 from frostport.core.broker import Broker
 from frostport.core.clock import Clock, MonotonicClock
 from frostport.core.deadlines import Deadlines
 from frostport.core.dial_policy import LIST_SERVICE, DialPolicy
-from frostport.core.event_position import EventPosition
 from frostport.core.lifecycle import Lifecycle, Phase
 from frostport.interface import Lifecycle as ServerLifecycle
+from frostport.list_distribution import ListDistribution
 from frostport.membership.messages import State
-from frostport.net.jsonl import BadLineError, Message
+from frostport.net.jsonl import Message
 from frostport.net.operator import Operation
-from frostport.startup import feed as feeding
-from frostport.startup import messages
-from frostport.startup.feed import Feed
+from frostport.startup import feed_events as feeding
+from frostport.startup.feed import TICK_MS
 from frostport.startup.pacing import DialPacer
 from frostport.startup.readiness import StagedReadiness, StartProgress
 from frostport.startup.rendezvous import initial_servers
@@ -38,13 +34,10 @@
 
 log = logging.getLogger("frostport.starting")
 
-FRAME_KIND = "feed"
 PREPARED = "prepared"  # phase shown to the other members: able to serve, but waiting for enough others
 MIN_TICK_MS = 20.0  # between two ticks once this agent is ready
 IDLE_TICK_MS = 1000.0  # between two ticks of a ready agent that has no feed
 EARLY_CLOSE_MS = 500.0  # a connection that is lost so soon after it was made is a sign of overload
-_decoder: msgspec.msgpack.Decoder[messages.Message] = msgspec.msgpack.Decoder(messages.Message)
-_encoder = msgspec.msgpack.Encoder()
 
 
 class StartingAgent(Protocol):
@@ -58,7 +51,7 @@
 
 
 class StartupCoordinator(DialPolicy):
-    """Runs one agent's dial pacer, feed and staged readiness.
+    """Runs one agent's dial pacer, staged readiness and part in the distribution of the server list.
 
     It also decides when the bus and the lobby servers may dial."""
 
@@ -70,14 +63,15 @@
         now = self.monotonic.now()
         self.pacer = DialPacer(settings, random.Random(secrets.randbits(64)), now)
         self.readiness = StagedReadiness(settings, now)
-        self.feed: Feed | None = None
+        # Without a fleet each agent hears the list service itself.
+        self.distribution = (
+            ListDistribution(settings, name, fleet, self.pacer, self.monotonic) if fleet is not None else None
+        )
         self.chosen: set[str] = set()  # lobby servers connected to before a call needs them
         self.chosen_from: frozenset[str] = frozenset()  # the servers that they were chosen from
         self.connected_at: dict[str, float] = {}  # by target
         self.members_changed = True
-        self.logged_role = ""
         self.serving_agents = 0  # count last passed to the broker, this agent included
-        self.update_sender = ""  # the agent whose message is being handled; "": the list service
         self.agent: StartingAgent | None = None
 
     def attach(self, agent: StartingAgent) -> None:
@@ -87,15 +81,8 @@
 
     def start(self) -> None:
         """Called once the agent's side has started."""
-        if self.fleet is not None:
-            self.feed = Feed(
-                self.name,
-                self.fleet.config.zone,
-                self._attached_agent.side.server_list.position.number,
-                self.settings,
-                self.monotonic.now(),
-            )
-            self.fleet.frame_handlers[FRAME_KIND] = self._on_frame
+        if self.fleet is not None and self.distribution is not None:
+            self.distribution.start(self._attached_agent)
             self.fleet.membership_listeners.append(self._on_membership_changed)
         self._tick()
 
@@ -124,21 +111,22 @@
         now = self.monotonic.now()
         if self.members_changed:
             self._update_members()
-        if self.feed is not None:
-            self.feed.pressures = self.pacer.reportable_pressures(now)
+        feed = self.distribution.feed if self.distribution is not None else None
+        if feed is not None:
+            feed.pressures = self.pacer.reportable_pressures(now)
             self._handle_feed_event(feeding.Tick())
         self._choose_servers()
         if not self.ready:
             self._check_readiness(now)
         if agent.lifecycle.phase is not Phase.STOPPED:
-            wait = feeding.TICK_MS
+            wait = TICK_MS
             if self.ready:
-                due = self.feed.next_tick_at(now) if self.feed is not None else now + IDLE_TICK_MS
+                due = feed.next_tick_at(now) if feed is not None else now + IDLE_TICK_MS
                 wait = max(MIN_TICK_MS, due - now)
             agent.deadlines.set(agent.clock.now() + wait, self._tick)
 
     def _update_members(self) -> None:
-        if self.fleet is None or self.feed is None:
+        if self.fleet is None:
             return
         self.members_changed = False
         visible = [member for member in self.fleet.swim.table if member.state <= State.SUSPECT]
@@ -153,111 +141,9 @@
             )
         )
 
-    # Distribution of the server list
-
     def _handle_feed_event(self, event: feeding.Event) -> None:
-        feed = self.feed
-        if feed is None:
-            return
-        bus = self._attached_agent.side.bus
-        last = None  # a message to several agents is encoded once
-        encoded = b""
-        for action in feed.handle(event, self.monotonic.now()):
-            match action:
-                case feeding.Send(to, message):
-                    if message is not last:
-                        last = message
-                        encoded = _encoder.encode(message)
-                    self._send(to, encoded)
-                case feeding.SendSnapshot(to):
-                    age = feed.age_ms(self.monotonic.now())
-                    update = messages.FeedUpdate(
-                        -1,
-                        (self._snapshot_event(),),
-                        age if age < 1e12 else -1.0,
-                        feed.connected,
-                        False,
-                        pressures=feed.pressures,
-                    )
-                    self._send(to, _encoder.encode(update))
-                case feeding.ApplyEvents(events):
-                    self._apply_events(events)
-                case feeding.Connect(dialer_count):
-                    bus.start_in(self.pacer.schedule_first(LIST_SERVICE, self.monotonic.now(), dialer_count))
-                case feeding.Disconnect():
-                    bus.disconnect()
-        if self.logged_role != (role := f"{feed.role.value} {feed.source}".strip()):
-            self.logged_role = role
-            log.info("role in distributing the server list: %s", role)
-            if self.fleet is not None:
-                self.fleet.record.event("feed", role=feed.role.value, source=feed.source)
-
-    def _send(self, to: str, body: bytes) -> None:
-        if self.fleet is not None:
-            self.fleet.link.send(to, FRAME_KIND, body)
-
-    def _on_frame(self, sender: str, body: bytes) -> None:
-        message = _decoder.decode(body)
-        if not isinstance(message, messages.Unsubscribe):
-            for target, level in message.pressures:
-                if target == LIST_SERVICE or target in self._attached_agent.side.route.servers:
-                    self.pacer.merge_pressure(target, level, self.monotonic.now())
-        self.update_sender = sender
-        self._handle_feed_event(feeding.MessageReceived(sender, message))
-        self.update_sender = ""
-
-    def _apply_events(self, events: tuple[bytes, ...]) -> None:
-        """Applies events of another agent to the list.
-
-        An event that can't be read is tried twice, because the list skips it on the second attempt."""
-        server_list = self._attached_agent.side.server_list
-        for line in events:
-            for _ in range(2):
-                try:
-                    record = orjson.loads(line)
-                    if not isinstance(record, dict):
-                        raise BadLineError(f"expected a JSON object, found {type(record).__name__}")
-                    server_list.apply_event(record)
-                    break
-                except (BadLineError, orjson.JSONDecodeError) as error:
-                    log.warning("can't apply a server list event from another agent: %s", error)
-            self._record_list_offset(server_list.position.number)
-            self._handle_feed_event(feeding.EventApplied(server_list.position.number, line))
-
-    def _record_list_offset(self, offset: int) -> None:
-        if self.fleet is not None and self.feed is not None and offset > self.feed.offset:
-            age = self.feed.age_ms(self.monotonic.now())
-            self.fleet.record.event(
-                "list",
-                offset=offset,
-                role=self.feed.role.value,
-                source=self.update_sender,
-                age_ms=round(age) if age < 1e12 else -1,
-            )
-
-    def _snapshot_event(self) -> bytes:
-        """Returns the list as one event that replaces what the receiver has."""
-        server_list = self._attached_agent.side.server_list
-        hosts = [
-            {
-                "host": server.address,
-                "dial": dial,
-                "site": server.zone,
-                "class": server.kind,
-                "block": server.number,
-                "health": server.state.value,
-                "share": server.nominal,
-                "born_ms": server.started_ms,
-            }
-            for server, dial in server_list.entries.values()
-            if server.state is not ServerLifecycle.GONE
-        ]
-        return orjson.dumps(
-            {
-                "offset": server_list.position.number,
-                "topology": {"seq": server_list.version, "whole": True, "hosts": hosts},
-            }
-        )
+        if self.distribution is not None:
+            self.distribution.handle(event)
 
     # When the bus and the lobby servers may dial
 
@@ -265,8 +151,8 @@
         return False  # `_choose_servers` dials the initial ones
 
     def first_delay_ms(self, target: str) -> float:
-        if target == LIST_SERVICE and self.fleet is not None:
-            if self.feed is None or self.feed.role not in (feeding.Role.FEEDING, feeding.Role.STANDALONE):
+        if target == LIST_SERVICE and self.distribution is not None:
+            if not self.distribution.dials_service():
                 return float("inf")  # dialed when the feed asks for it
             # Asked for again, because the address of the service has changed: the old connection is closed.
             self._handle_feed_event(feeding.ServiceDisconnected())
@@ -310,11 +196,11 @@
         self._handle_feed_event(feeding.ServiceDisconnected())
 
     def list_unchanged(self) -> None:
-        self._handle_feed_event(feeding.ServiceDataReceived())
+        self._handle_feed_event(feeding.ServiceHeard())
 
-    def list_event_received(self, position: EventPosition, line: bytes) -> None:
-        self._record_list_offset(position.number)
-        self._handle_feed_event(feeding.ServiceDataReceived(position.number, line))
+    def list_event_received(self, line: bytes) -> None:
+        if self.distribution is not None:
+            self.distribution.service_event_received(line)
 
     # Initial connections to lobby servers
 
@@ -327,7 +213,8 @@
             self.pacer.forget(removed)
         self.chosen_from = listed
         previously_chosen = self.chosen
-        agents = [] if self.feed is None else [*self.feed.zones, self.name]
+        feed = self.distribution.feed if self.distribution is not None else None
+        agents = [] if feed is None else [*feed.zones, self.name]
         self.chosen &= listed
         if len(self.chosen) < min(self.settings.servers, len(listed)):
             self.chosen = initial_servers(sorted(listed), self.name, agents, self.settings.servers)
@@ -377,17 +264,11 @@
 
     def _describe(self, _: str) -> list[str]:
         now = self.monotonic.now()
-        feed = self.feed
         waits = "able to serve" if self.ready else f"waits for {self.readiness.waits_for}"
         rate = f"{self.settings.dials_a_second:g} dials a second"
         lines = [f"OK {waits}; {self.pacer.fleet_size} agents share {rate}"]
-        if feed is not None:
-            age = feed.age_ms(now)
-            lines.append(
-                f"list {self._attached_agent.side.server_list.position.number} {feed.role.value}"
-                f"{f' by {feed.source}' if feed.source else ''}, the service heard "
-                f"{f'{age:.0f} ms ago' if age < 1e12 else 'never'}; feeds {len(feed.subscribers)}"
-            )
+        if self.distribution is not None and self.distribution.feed is not None:
+            lines.append(self.distribution.describe())
         for name, target in sorted(self.pacer.targets.items()):
             if target.failures or target.due_at > now or self.pacer.pressure(name, now) > 1.0:
                 lines.append(
--- a/standins/cold_site.py
+++ b/standins/cold_site.py
@@ -11,9 +11,9 @@
 import contextlib
 import random
 import time
-from typing import Any
 
 from standins import cold_start_simulation
+from standins.event_numbering import Hosts
 from standins.fleet import Environment
 from standins.lists import ListService
 from standins.lobby import Caller, LobbyServer, Observations
@@ -50,30 +50,36 @@
         self.accepted_at: list[float] = []
         self.connections: set[asyncio.StreamWriter] = set()
         self.handler_tasks: set[asyncio.Task[None]] = set()
-        self.server: asyncio.Server | None = None
+        self.listeners: list[asyncio.Server] = []
         self.port = 0
         self.silent = False  # accepts connections and never sends anything
 
     async def open(self) -> int:
         """Listens, on the same port as before if it has been up already, and returns the port."""
+        self.port = await self.listen(self.port)
+        return self.port
+
+    async def listen(self, port: int, client: str = "") -> int:
+        """Listens on one more port, 0 for a free one; `client` is whom it is for. Returns the port."""
 
         def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            task = asyncio.ensure_future(self._accept(reader, writer))
+            task = asyncio.ensure_future(self._accept(reader, writer, client))
             self.handler_tasks.add(task)
             task.add_done_callback(self.handler_tasks.discard)
 
-        self.server = await asyncio.start_server(accept, "127.0.0.1", self.port, backlog=1024)
-        self.port = int(self.server.sockets[0].getsockname()[1])
-        return self.port
+        listener = await asyncio.start_server(accept, "127.0.0.1", port, backlog=1024)
+        self.listeners.append(listener)
+        return int(listener.sockets[0].getsockname()[1])
 
     def go_down(self) -> None:
-        """Closes the listening socket and aborts all connections, as if its process had died."""
-        if self.server is not None:
-            self.server.close()
+        """Closes the listening sockets and aborts all connections, as if its process had died."""
+        for listener in self.listeners:
+            listener.close()
+        self.listeners.clear()
         for writer in self.connections:
             writer.transport.abort()
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, client: str) -> None:
         self.accepted_at.append(time.time())
         wait_s = self.processor.add_work(self.handshake_ms)
         if self.processor.collapsed:
@@ -86,54 +92,62 @@
             while self.silent:
                 await asyncio.sleep(0.05)
             with contextlib.suppress(ConnectionError):
-                await self.serve(reader, writer)
+                await self.serve_client(reader, writer, client)
         finally:
             self.connections.discard(writer)
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serves one connection after its handshake."""
+    async def serve_client(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, client: str
+    ) -> None:
+        """Serves one connection after its handshake; `client` is whom its port is for."""
         raise NotImplementedError
 
 
 class LimitedListService(ListService, LimitedServer):
-    """A list service at one address for all agents; each request costs `ask_ms` of its processor.
+    """A list service with one processor for all agents, of which each request costs `ask_ms`.
 
-    `requests` holds Unix s, port and offset of each.
+    Each agent has a port of its own, since its numbers count from 1 at each of its starts.
     """
 
     def __init__(self, ask_ms: float, handshake_ms: float = 2.0, max_queue_ms: float = 1000.0) -> None:
         ListService.__init__(self)
         LimitedServer.__init__(self, handshake_ms, max_queue_ms)
         self.ask_ms = ask_ms
-        self.dials: dict[str, str] = {}
+        self.agent_ports: dict[str, int] = {}
         self.oldest_kept_event = 0  # a request from before this offset counts as one for the complete list
         self.complete_lists = 0
         self.published_at: dict[int, float] = {}  # Unix ms, by event
 
-    def publish(self, hosts: list[dict[str, Any]]) -> None:
+    async def open(self) -> int:
+        """Listens on the port of each agent; returns 0, as it has no port for all."""
+        for name, port in self.agent_ports.items():
+            self.agent_ports[name] = await self.listen(port, name)
+        return 0
+
+    async def open_for(self, name: str, dials: dict[str, str]) -> int:
+        """Listens for one more agent, and returns the port; `dials` are its addresses of the servers."""
+        self.dials[name] = dials
+        self.agent_ports[name] = await self.listen(0, name)
+        return self.agent_ports[name]
+
+    def publish(self, hosts: Hosts) -> None:
         """Adds an event, sends it on all connections and notes its time in `published_at`."""
         super().publish(hosts)
-        self.published_at[len(self.events)] = time.time() * 1000.0
+        self.published_at[len(self.changes)] = time.time() * 1000.0
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve_client(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, client: str
+    ) -> None:
         with contextlib.suppress(ConnectionError, ValueError, IndexError):
-            offset = int((await reader.readline()).split()[1])
-            self.requests.append((time.time(), str(self.port), offset))
+            number = int((await reader.readline()).split()[1])
+            self.requests.append((time.time(), client, number))
             wait_s = self.processor.add_work(self.ask_ms)
             if self.processor.collapsed:
                 self.go_down()
                 return
             await asyncio.sleep(wait_s)
-            self.complete_lists += offset < self.oldest_kept_event
-            while not writer.is_closing():
-                changed = self.changed
-                while offset < len(self.events):
-                    offset += 1
-                    writer.write(self.encode_event(offset, self.dials))
-                writer.write(b"%d\n" % offset)
-                await writer.drain()
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(changed.wait(), self.heartbeat_s)
+            self.complete_lists += number < self.oldest_kept_event
+            await self.send_events(client, number, reader, writer)
         writer.close()
 
 
@@ -153,7 +167,9 @@
         LimitedServer.__init__(self, handshake_ms, max_queue_ms)
         self.set_up_ms = set_up_ms
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve_client(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, client: str
+    ) -> None:
         await LobbyServer.serve(self, reader, writer)
 
     def on_set_up(self) -> None:
@@ -183,6 +199,7 @@
             }
             for number in range(servers)
         ]
+        self.dials: dict[str, str] = {}  # the address of each lobby server, the same for all agents
         self.limited_list = self.list_service = LimitedListService(ask_ms)
         self.list_service.publish(self.hosts)
         self.shared_servers = [
@@ -195,11 +212,11 @@
 
         Returns the lobby servers' addresses by host, and the list service's address.
         """
-        if not self.limited_list.port:
+        if not self.dials:
             for lobby in self.shared_servers:
-                self.limited_list.dials[lobby.name] = f"127.0.0.1:{await lobby.open()}"
-            await self.limited_list.open()
+                self.dials[lobby.name] = f"127.0.0.1:{await lobby.open()}"
             self.lobbies += self.shared_servers
+        list_port = await self.limited_list.open_for(name, self.dials)
         first = len(self.callers)
         self.callers += [
             Caller(
@@ -211,7 +228,7 @@
             )
             for number in range(self.callers_per_agent)
         ]
-        return self.limited_list.dials, f"127.0.0.1:{self.limited_list.port}"
+        return self.dials, f"127.0.0.1:{list_port}"
 
     def endpoints(self) -> dict[str, LimitedServer]:
         """The list service as "list", and the lobby servers by name."""
--- a/standins/cold_start_simulation.py
+++ b/standins/cold_start_simulation.py
@@ -15,9 +15,9 @@
 from collections.abc import Callable, Iterable
 
 from frostport.core.dial_policy import LIST_SERVICE
-from frostport.startup import feed as feeding
+from frostport.startup import feed_events as feeding
 from frostport.startup.feed import Feed, Role
-from frostport.startup.messages import FeedUpdate, Message
+from frostport.startup.messages import Message
 from frostport.startup.pacing import DialPacer
 from frostport.startup.readiness import StagedReadiness, StartProgress
 from frostport.startup.rendezvous import initial_servers
@@ -78,7 +78,10 @@
 
 
 class SimulatedAgent:
-    """One call agent: its objects of `frostport.startup`, and the connections that the network code keeps."""
+    """One call agent: its objects of `frostport.startup`, and the connections that the network code keeps.
+
+    Its list is modelled by the number of the last event of the site that is in it. The agents can't compare
+    these numbers: for each, the service counts from its start (`bus_offset` is where it stands there)."""
 
     def __init__(self, site: SimulatedSite, name: str, offset: int, skew_ms: float) -> None:
         self.site = site
@@ -88,9 +91,11 @@
         self.zone = site.zone(name)
         now = self.clock()
         self.pacer = DialPacer(site.settings, random.Random(site.rng.random()), now)
-        self.feed = Feed(name, self.zone, offset, site.settings, now)
+        self.feed = Feed(name, self.zone, f"{name}/{self.incarnation}", True, site.settings, now)
         self.readiness = StagedReadiness(site.settings, now)
-        self.offset = offset
+        self.offset = self.bus_offset = offset
+        self.outdated_since: float | None = None  # the list is older than one that it has had
+        self.longest_outdated_ms = 0.0
         self.members: dict[str, str] = {}
         self.births = self.deaths = 0  # how many of the site's births and deaths it has processed
         self.membership_delay_ms = site.rng.uniform(*MEMBERSHIP_DELAY_MS)
@@ -165,7 +170,7 @@
             self.list_last_received_at = self.site.now
             done = endpoint.add_work(endpoint.work_ms)
             if done is not None:
-                self.site.complete_lists += self.offset < self.site.oldest_kept_event
+                self.site.complete_lists += self.bus_offset < self.site.oldest_kept_event
                 self.site.call_at(done, lambda: self.site.send_events(self.name, number))
         elif not endpoint.silent:
             self.answering.add(target)
@@ -186,16 +191,14 @@
                 case feeding.Send(to, message):
                     self.site.send(self.name, to, message)
                 case feeding.SendSnapshot(to):
-                    age_ms = self.feed.age_ms(self.clock())
-                    self.site.send(
-                        self.name,
-                        to,
-                        FeedUpdate(-1, (b"whole %d" % self.offset,), age_ms, self.feed.connected, False),
-                    )
+                    snapshot = self.feed.snapshot_update(b"whole %d" % self.offset, self.clock())
+                    self.site.send(self.name, to, snapshot)
                 case feeding.ApplyEvents(events):
                     for line in events:
-                        self.advance_to(int(line.split()[-1]))
-                        self.handle(feeding.EventApplied(self.offset, line))
+                        self.apply(line)
+                        self.handle(feeding.EventApplied(line))
+                case feeding.ApplySnapshot(complete_list):
+                    self.apply(complete_list)
                 case feeding.Connect(among):
                     if LIST_SERVICE not in self.dial_at:
                         self.dial_after(
@@ -206,11 +209,34 @@
                     self.connected.pop(LIST_SERVICE, None)
                     self.site.endpoints[LIST_SERVICE].connections.pop(self.name, None)
 
-    def advance_to(self, offset: int) -> None:
-        """Notes when each event up to this offset was received."""
-        for number in range(self.offset + 1, offset + 1):
-            self.event_received_at[number] = self.site.now
-        self.offset = max(self.offset, offset)
+    def apply(self, line: bytes) -> None:
+        """Applies one event to the list. Raises AssertionError if the list lacks the one before it."""
+        kind, number = line.split()
+        offset = int(number)
+        assert kind == b"whole" or offset == self.offset + 1, f"{self.name} applies {offset} to {self.offset}"
+        newest = max(self.event_received_at, default=0)
+        for received in range(max(self.offset, newest) + 1, offset + 1):
+            self.event_received_at[received] = self.site.now
+        self.offset = offset
+        if offset < newest:
+            self.outdated_since = self.outdated_since or self.site.now
+        elif self.outdated_since is not None:
+            self.longest_outdated_ms = max(self.longest_outdated_ms, self.site.now - self.outdated_since)
+            self.outdated_since = None
+
+    def receive_from_service(self, last: int) -> None:
+        """Takes the service's events up to `last`, and its word that this is the last one."""
+        self.list_last_received_at = self.site.now
+        if self.offset == self.bus_offset < last:
+            for number in range(self.bus_offset + 1, last + 1):
+                self.apply(b"event %d" % number)
+                self.handle(feeding.ServiceHeard(b"event %d" % number))
+        elif self.offset != self.bus_offset:  # the list is another agent's: replaced as a whole
+            complete_list = b"whole %d" % last
+            self.apply(complete_list)
+            self.handle(feeding.ServiceHeard(complete_list))
+        self.bus_offset = last
+        self.handle(feeding.ServiceHeard())
 
     def tick(self) -> None:
         """Runs periodically: detects a silent list service, updates members, drives feed and readiness."""
@@ -471,13 +497,7 @@
             if self.now < agent.frozen_until:
                 self.call_at(agent.frozen_until, arrive)
                 return
-            agent.list_last_received_at = self.now
-            behind = agent.offset < self.last_event
-            while agent.offset < self.last_event:
-                agent.advance_to(agent.offset + 1)
-                agent.handle(feeding.ServiceDataReceived(agent.offset, b"event %d" % agent.offset))
-            if not behind:
-                agent.handle(feeding.ServiceDataReceived())
+            agent.receive_from_service(self.last_event)
 
         self.call_after_random(NETWORK_DELAY_MS, arrive)
 
@@ -491,6 +511,10 @@
         """The number of running agents that are ready."""
         return sum(agent.readiness.ready for agent in self.agents.values())
 
+    def longest_outdated_ms(self) -> float:
+        """The longest time for which an agent's list was older than one that it had had, ms."""
+        return max((agent.longest_outdated_ms for agent in self.agents.values()), default=0.0)
+
     def collapsed(self) -> list[str]:
         """The names of the endpoints that have collapsed."""
         return [name for name, endpoint in self.endpoints.items() if endpoint.collapsed]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -247,11 +247,10 @@
             "operator": self.address(name, "operator"),
         }
         if self.environment is not None:
-            dials, list_address = self.addresses_by_agent[name]
-            first = self.environment.list_service.encode_event(1, dials)
+            _, list_address = self.addresses_by_agent[name]
             config.update(
                 bus=list_address,
-                known={"offset": 1, "batch": [json.loads(first)]},
+                known=self.environment.list_service.agent_starts(name),
                 store={"path": f"{name}.store"},
             )
         config.update(self.extra_config)
--- a/standins/lists.py
+++ b/standins/lists.py
@@ -1,4 +1,4 @@
-"""A scripted list service: numbered events, sent from the offset that each connection asks for."""
+"""A scripted list service: numbered events, sent from the number that each connection asks for."""
 
 from __future__ import annotations
 
@@ -8,53 +8,62 @@
 import time
 from typing import Any
 
+from standins.event_numbering import EventNumbering, Hosts
+
 
 class ListService:
     """One list of servers, which every agent reads at a port of its own, since each agent reaches the servers
-    at addresses of its own (through relays)."""
+    at addresses of its own (through relays). Its numbers count from 1 at each start of an agent."""
 
     def __init__(self, heartbeat_s: float = 1.0) -> None:
         self.heartbeat_s = heartbeat_s
-        # The hosts in each event; the first event is a complete list, the later ones are changes.
-        self.events: list[list[dict[str, Any]]] = []
-        self.requests: list[tuple[float, str, int]] = []  # Unix s, agent, offset
+        self.changes: list[Hosts] = []  # over all starts
+        self.numberings: dict[str, EventNumbering] = {}  # of the present start of each agent
+        self.dials: dict[str, dict[str, str]] = {}  # by agent: the address of each server
+        self.requests: list[tuple[float, str, int]] = []  # Unix s, agent, number
         self.tasks: set[asyncio.Task[None]] = set()
         self.servers: list[asyncio.Server] = []
         self.writers: set[asyncio.StreamWriter] = set()
         self.changed = asyncio.Event()  # set, and replaced, with each new event
 
-    def publish(self, hosts: list[dict[str, Any]]) -> None:
+    def publish(self, hosts: Hosts) -> None:
         """Adds an event and sends it on all connections."""
-        self.events.append(hosts)
+        self.changes.append(hosts)
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def encode_event(self, number: int, dials: dict[str, str]) -> bytes:
-        """The line for an event, counted from 1; `dials` maps host names to addresses."""
-        hosts = [{**host, "dial": dials[host["host"]]} for host in self.events[number - 1]]
-        return (
-            json.dumps(
-                {"offset": number, "topology": {"seq": number, "whole": number == 1, "hosts": hosts}}
-            ).encode()
-            + b"\n"
-        )
+    def agent_starts(self, name: str) -> dict[str, Any]:
+        """An agent starts: its numbers count from 1 again. Returns `known` for its configuration."""
+        numbering = self.numberings[name] = EventNumbering(self.changes)
+        return numbering.known(self.dials[name])
+
+    async def send_events(
+        self, name: str, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends an agent the events after `number`, and at least each `heartbeat_s` the last one's number."""
+        numbering = self.numberings.get(name)
+        while not (writer.is_closing() or reader.at_eof()):
+            changed = self.changed
+            last = numbering.last() if numbering is not None else 0
+            if numbering is not None:
+                for later in range(number + 1, last + 1):
+                    event = numbering.event(later, self.dials[name])
+                    writer.write(json.dumps(event).encode() + b"\n")
+            number = max(number, last)
+            writer.write(b"%d\n" % last)
+            await writer.drain()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), self.heartbeat_s)
 
     async def start(self, name: str, dials: dict[str, str]) -> int:
-        """Listens for one agent, and returns the port."""
+        """Listens for one agent, and returns the port; `dials` maps the names of servers to addresses."""
+        self.dials[name] = dials
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             with contextlib.suppress(ConnectionError, ValueError):
-                offset = int((await reader.readline()).split()[1])
-                self.requests.append((time.time(), name, offset))
-                while True:
-                    changed = self.changed
-                    while offset < len(self.events):
-                        offset += 1
-                        writer.write(self.encode_event(offset, dials))
-                    writer.write(b"%d\n" % offset)
-                    await writer.drain()
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(changed.wait(), self.heartbeat_s)
+                number = int((await reader.readline()).split()[1])
+                self.requests.append((time.time(), name, number))
+                await self.send_events(name, number, reader, writer)
             writer.close()
             self.writers.discard(writer)
 
--- a/tests/fleet/test_startup.py
+++ b/tests/fleet/test_startup.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import pathlib
+from dataclasses import dataclass
 from typing import Any
 
 from frostport.startup.feed import PARTIAL_VIEW_FACTOR
@@ -23,6 +24,16 @@
 )
 
 
+@dataclass(frozen=True)
+class Publication:
+    """A published change of one server's state, and how many records each agent had written before."""
+
+    number: int
+    server: str
+    state: str
+    records_before: dict[str, int]
+
+
 class Scenario:
     """Takes one rig through the faults, one after the other."""
 
@@ -69,25 +80,37 @@
         await self.rig.wait_until(f"{zone} has {FEEDERS} feeders", settled)
         return self.feeders(zone)
 
-    def publish_event(self) -> int:
-        """Publishes an event, in which a server drains or is ready again; returns its number."""
-        number = len(self.list_service.events) + 1
+    def publish_event(self) -> Publication:
+        """Publishes an event, in which a server drains or is ready again, unlike in the one before."""
+        number = len(self.list_service.changes) + 1
         state = "draining" if number % 2 == 0 else "ready"
-        self.list_service.publish([{**self.site.hosts[-1], "health": state}])
-        return number
-
-    async def wait_for_event(self, number: int, names: list[str] | None = None) -> dict[str, dict[str, Any]]:
+        entry = {**self.site.hosts[-1], "health": state}
+        self.list_service.publish([entry])
+        records_before = {name: len(self.rig.records(name)) for name in self.rig.names}
+        return Publication(number, str(entry["host"]), state, records_before)
+
+    def record_of(self, event: Publication, name: str) -> dict[str, Any] | None:
+        """The record by which an agent has an event in its list, None if it has none.
+
+        Agents can't be asked for the event's number: it counts from the start of each agent."""
+        for line in self.rig.records(name)[event.records_before[name] :]:
+            if line["event"] == "list" and line["servers"].get(event.server) == event.state:
+                return line
+        return None
+
+    async def wait_for_event(
+        self, event: Publication, names: list[str] | None = None
+    ) -> dict[str, dict[str, Any]]:
         """Waits until all of these agents have the event in their list; returns the record of each."""
         found: dict[str, dict[str, Any]] = {}
 
         async def all_have() -> bool:
             for name in names or self.rig.names:
-                for line in self.rig.records(name):
-                    if line["event"] == "list" and line["offset"] == number:
-                        found[name] = line
+                if name not in found and (line := self.record_of(event, name)) is not None:
+                    found[name] = line
             return set(names or self.rig.names) <= found.keys()
 
-        await self.rig.wait_until(f"event {number} is in the list of all agents", all_have)
+        await self.rig.wait_until(f"event {event.number} is in the list of all agents", all_have)
         return found
 
     def assert_not_overloaded(self, since: int, max_connections: int) -> None:
@@ -119,10 +142,10 @@
 
         await self.rig.wait_until("all agents know that the service is down", noticed)
         since = len(self.list_service.accepted_at)
-        number = self.publish_event()
+        event = self.publish_event()
         for party in self.site.endpoints().values():
             await party.open()
-        await self.wait_for_event(number)
+        await self.wait_for_event(event)
         await self.wait_for_feeders()
         self.assert_not_overloaded(since, POSSIBLE_FEEDERS)
 
@@ -132,17 +155,15 @@
         assert len(stalled) == FEEDERS
         for name in stalled:
             await self.rig.freeze_and_wait(name)
-        number = self.publish_event()
+        event = self.publish_event()
         others = [name for name in self.rig.names if name not in stalled]
-        found = await self.wait_for_event(number, others)
+        found = await self.wait_for_event(event, others)
         for name in stalled:
             # The feeders were stopped all the time.
-            assert not any(
-                line["event"] == "list" and line["offset"] == number for line in self.rig.records(name)
-            )
+            assert self.record_of(event, name) is None
             self.rig.unfreeze(name)
         assert not {line["source"] for line in found.values()} & set(stalled)
-        await self.wait_for_event(number)
+        await self.wait_for_event(event)
         await self.wait_for_feeders()
         self.assert_not_overloaded(since, POSSIBLE_FEEDERS)
 
--- a/tests/test_gossip_wire.py
+++ b/tests/test_gossip_wire.py
@@ -288,7 +288,8 @@
         "'frostport.membership', 'frostport.agreement', 'frostport.maintenance', "
         "'frostport.fleet_maintenance', 'frostport.net.link', 'frostport.net.gossip', "
         "'frostport.config_fleet', 'frostport.observe.record', 'frostport.startup', "
-        "'frostport.startup_coordinator', 'frostport.config_startup', 'frostport.replication'))])"
+        "'frostport.startup_coordinator', 'frostport.list_distribution', 'frostport.config_startup', "
+        "'frostport.replication'))])"
     )
     found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -46,6 +46,7 @@
     "config_fleet": 5,
     "config_startup": 5,
     "startup_coordinator": 6,
+    "list_distribution": 6,
     "diameter_side": 6,
     "agent": 6,
     "durability": 6,
@@ -76,6 +77,8 @@
     ("config_startup", "config"),
     ("agent", "startup_coordinator"),
     ("startup_coordinator", "fleet"),
+    ("startup_coordinator", "list_distribution"),
+    ("list_distribution", "fleet"),
     ("config", "config_fleet"),
     ("config_fleet", "config"),  # a section of it, imported only where it is configured
     ("durability", "platform_side"),
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -21,7 +21,7 @@
 from frostport import config_startup
 from frostport.config import ConfigError
 from frostport.core.dial_policy import LIST_SERVICE
-from frostport.startup import feed as feeding
+from frostport.startup import feed_events as feeding
 from frostport.startup.feed import Feed, Role
 from frostport.startup.messages import FeedUpdate, Subscribe
 from frostport.startup.pacing import DialPacer
@@ -33,6 +33,8 @@
 
 AGENT_COUNT = 200
 DRAIN_GRACE_MS = 2000.0  # after this a draining server must get no new calls
+# A list that is replaced by one sent just before an event: that event follows on the same connection.
+MAX_OUTDATED_MS = 100.0
 
 
 def wait_until_all_serve(site: SimulatedSite, within_ms: float) -> None:
@@ -219,6 +221,7 @@
     site = build_site(case, count, seed, eager)
     CASES[case][0](site)
     assert_not_overloaded(site)
+    assert site.longest_outdated_ms() <= MAX_OUTDATED_MS
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -316,83 +319,242 @@
     assert rolling.update(StartProgress(3, 3, 3, serving=80), 0.0)
 
 
+OWN_STREAM = "a"
+# The content of a list is named by the position at which it is: `b"x 3"` leads from `x 2` to `x 3`.
+streams = st.sampled_from(["x", "y"])
 feed_updates = st.builds(
-    lambda after_offset, count, age, connected, dials_service: FeedUpdate(
-        after_offset,
-        tuple(b"event %d" % (after_offset + 1 + n) for n in range(count)),
+    lambda stream, after_number, count, age, connected, dials_service: FeedUpdate(
+        after_number,
+        tuple(b"%s %d" % (stream.encode(), after_number + 1 + n) for n in range(count)),
         age,
         connected,
         dials_service,
+        stream=stream,
     ),
+    streams,
     st.integers(0, 12),
     st.integers(0, 4),
     st.sampled_from([-1.0, 0.0, 900.0, 5000.0]),
     st.booleans(),
     st.booleans(),
 )
+snapshots = st.builds(
+    lambda stream, number, age, connected: FeedUpdate(
+        number,
+        (b"%s %d" % (stream.encode(), number),),
+        age,
+        connected,
+        connected,
+        stream=stream,
+        is_snapshot=True,
+    ),
+    streams,
+    st.integers(0, 12),
+    st.sampled_from([-1.0, 0.0, 900.0, 5000.0]),
+    st.booleans(),
+)
+subscriptions = st.builds(
+    lambda number, stream, complete: Subscribe(number, stream=stream, complete=complete),
+    st.integers(0, 12),
+    st.sampled_from(["", "x", "y", OWN_STREAM]),
+    st.booleans(),
+)
+senders = st.sampled_from(["b", "c", "d"])
 steps = st.one_of(
-    st.tuples(st.just("told"), st.sampled_from(["b", "c", "d"]), feed_updates),
-    st.tuples(st.just("ask"), st.sampled_from(["b", "c", "d"]), st.builds(Subscribe, st.integers(0, 12))),
+    st.tuples(st.just("told"), senders, feed_updates),
+    st.tuples(st.just("told"), senders, snapshots),
+    st.tuples(st.just("ask"), senders, subscriptions),
     st.tuples(st.just("members"), st.sets(st.sampled_from(["b", "c", "d", "e"])), st.none()),
-    st.tuples(st.sampled_from(["up", "down", "word", "tick"]), st.none(), st.none()),
+    st.tuples(
+        st.sampled_from(["up", "down", "event", "heartbeat", "unreadable", "tick"]), st.none(), st.none()
+    ),
     st.tuples(st.just("time"), st.sampled_from([100.0, 1000.0, 4000.0]), st.none()),
 )
 
 
-@settings(max_examples=400, deadline=None, derandomize=True)
-@given(st.lists(steps, max_size=60))
-def test_events_are_applied_in_order_and_a_newer_list_is_sought(
-    script: list[tuple[str, object, object]],
-) -> None:
-    feed = Feed("a", "z", 0, Settings(agents=4, feeders=1, patience_ms=5000.0), 0.0)
-    now = 0.0
-    offset = 0
-    connected = connect_requested = False
-
-    def handle(event: feeding.Event) -> None:
-        nonlocal offset, connected, connect_requested
-        for action in feed.handle(event, now):
+@dataclasses.dataclass
+class FeedModel:
+    """Carries out the actions of one feed, and checks them against the list that they lead to."""
+
+    feed: Feed
+    now: float = 0.0
+    position: tuple[str, int] = (OWN_STREAM, 0)
+    heard_at: float = 0.0  # when the list was heard from the service at the latest, or the start
+    connected: bool = False
+    connect_requested: bool = False
+    reads_events: bool = True
+
+    def handle(self, event: feeding.Event) -> None:
+        for action in self.feed.handle(event, self.now):
             match action:
                 case feeding.ApplyEvents(events):
-                    for line in events:
-                        assert int(line.split()[1]) <= offset + 1, "S1: events skipped"
-                        offset = max(offset, int(line.split()[1]))
-                        handle(feeding.EventApplied(offset, line))
+                    self.apply(events)
+                case feeding.ApplySnapshot(complete_list):
+                    assert isinstance(event, feeding.MessageReceived)
+                    assert isinstance(event.message, FeedUpdate)
+                    self.replace(complete_list, event.message.age_ms)
                 case feeding.Connect(_):
-                    assert not connect_requested, "two connections to the service"
-                    connect_requested = True
+                    assert not self.connect_requested, "two connections to the service"
+                    self.connect_requested = True
                 case feeding.Disconnect():
-                    assert connect_requested
-                    connected = connect_requested = False
-                case feeding.Send(_, FeedUpdate(after_offset, events)):
-                    assert after_offset + len(events) <= offset or not events
-        assert feed.offset == offset
-        assert connect_requested is (feed.role in (Role.FEEDING, Role.STANDALONE))
+                    assert self.connect_requested
+                    self.connected = self.connect_requested = False
+                case feeding.Send(_, FeedUpdate() as update) if update.stream == self.position[0]:
+                    assert update.after_number + len(update.events) <= self.position[1] or not update.events
+        assert self.connect_requested is (self.feed.role in (Role.FEEDING, Role.STANDALONE))
+        if self.feed.age_ms(self.now) < float("inf"):
+            self.heard_at = max(self.heard_at, self.now - self.feed.age_ms(self.now))
+        self.check_position()
+
+    def apply(self, events: tuple[bytes, ...]) -> None:
+        for line in events:
+            if not self.reads_events:
+                self.feed.handle(feeding.EventRejected(), self.now)
+                self.return_to_own_stream()
+                return
+            stream, number = self.position
+            assert line == b"%s %d" % (stream.encode(), number + 1), "S1: events skipped"
+            self.position = (stream, number + 1)
+            self.handle(feeding.EventApplied(line))
+
+    def replace(self, complete_list: bytes, age_ms: float) -> None:
+        stream, number = complete_list.decode().split()
+        if stream == self.position[0]:
+            assert int(number) > self.position[1], "S3: replaced by an older list of the same stream"
+        else:
+            assert age_ms >= 0.0 and self.now - age_ms >= self.heard_at, "S3: replaced by an older list"
+        self.position = (stream, int(number))
+
+    def return_to_own_stream(self) -> None:
+        assert self.feed.position.stream == OWN_STREAM
+        self.position = (OWN_STREAM, self.feed.position.number)
+
+    def service_heard(self, event: bool) -> None:
+        number = self.feed.own_position.number
+        if self.position[0] != OWN_STREAM:
+            number += 1  # nothing leads from the last own number to the list of another agent
+        self.position = (OWN_STREAM, number + event)
+        self.handle(feeding.ServiceHeard(b"change" if event else b""))
+
+    def check_position(self) -> None:
+        found = self.feed.position
+        assert (found.stream, found.number) == self.position
+        if found.stream == OWN_STREAM:
+            assert found == self.feed.own_position
 
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(st.lists(steps, max_size=60))
+def test_events_are_applied_in_order_and_a_newer_list_is_sought(
+    script: list[tuple[str, object, object]],
+) -> None:
+    model = FeedModel(
+        Feed("a", "z", OWN_STREAM, True, Settings(agents=4, feeders=1, patience_ms=5000.0), 0.0)
+    )
     for what, first, second in script:
         match what:
             case "told" | "ask":
-                handle(feeding.MessageReceived(str(first), second))  # type: ignore[arg-type]
+                model.handle(feeding.MessageReceived(str(first), second))  # type: ignore[arg-type]
             case "members":
-                handle(feeding.MembersChanged(dict.fromkeys(sorted(first), "z")))  # type: ignore[call-overload]
-            case "up" if connect_requested:
-                connected = True
-                handle(feeding.ServiceConnected())
-            case "down" if connect_requested:
-                connected = False
-                handle(feeding.ServiceDisconnected())
-            case "word" if connected:
-                offset += 1
-                handle(feeding.ServiceDataReceived(offset, b"event %d" % offset))
+                members = dict.fromkeys(sorted(first), "z")  # type: ignore[call-overload]
+                model.handle(feeding.MembersChanged(members))
+            case "up" if model.connect_requested:
+                model.connected = True
+                model.handle(feeding.ServiceConnected())
+            case "down" if model.connect_requested:
+                model.connected = False
+                model.handle(feeding.ServiceDisconnected())
+            case "event" | "heartbeat" if model.connected:
+                model.service_heard(what == "event")
+            case "unreadable":
+                model.reads_events = not model.reads_events
             case "tick":
-                handle(feeding.Tick())
+                model.handle(feeding.Tick())
             case "time":
-                now += first  # type: ignore[operator]
+                model.now += first  # type: ignore[operator]
     for _ in range(60):  # S2: without other agents it must dial the service itself
-        now += 250.0
-        handle(feeding.MembersChanged({}))
-        handle(feeding.Tick())
-    assert connect_requested
+        model.now += 250.0
+        model.handle(feeding.MembersChanged({}))
+        model.handle(feeding.Tick())
+    assert model.connect_requested
+
+
+class TwoAgents:
+    """A feeder and an agent that it feeds, each with a list of its own; messages arrive at once."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        options = Settings(agents=2, feeders=1)
+        feeder = ranked("z", ["a", "b"], 1)[0]
+        self.feeder, self.fed = (feeder, "b" if feeder == "a" else "a")
+        self.feeds = {name: Feed(name, "z", f"{name} 1", True, options, self.now) for name in ("a", "b")}
+        self.lists: dict[str, dict[str, str]] = {"a": {"h0": "ready"}, "b": {"h0": "ready"}}
+
+    def handle(self, name: str, event: feeding.Event) -> None:
+        feed = self.feeds[name]
+        for action in feed.handle(event, self.now):
+            match action:
+                case feeding.Send(to, message):
+                    self.handle(to, feeding.MessageReceived(name, message))
+                case feeding.SendSnapshot(to):
+                    snapshot = feed.snapshot_update(json.dumps(self.lists[name]).encode(), self.now)
+                    self.handle(to, feeding.MessageReceived(name, snapshot))
+                case feeding.ApplySnapshot(complete_list):
+                    self.lists[name] = json.loads(complete_list)
+                case feeding.ApplyEvents(events):
+                    for line in events:
+                        self.lists[name].update(json.loads(line))
+                        self.handle(name, feeding.EventApplied(line))
+
+    def pass_time(self, ms: float) -> None:
+        for _ in range(int(ms / 250.0)):
+            self.now += 250.0
+            self.handle("a", feeding.Tick())
+            self.handle("b", feeding.Tick())
+
+    def publish(self, server: str, state: str) -> None:
+        """The service, to which only the feeder is connected, sends one event."""
+        self.lists[self.feeder][server] = state
+        self.handle(self.feeder, feeding.ServiceHeard(json.dumps({server: state}).encode()))
+
+    def restart_feeder(self) -> None:
+        """A new start: its list is complete, and its numbers count from 1 again."""
+        old = self.feeds[self.feeder]
+        self.handle(self.fed, feeding.MembersChanged({}))
+        self.feeds[self.feeder] = Feed(self.feeder, "z", f"{self.feeder} 2", True, old.settings, self.now)
+        self.connect()
+
+    def connect(self) -> None:
+        self.handle("a", feeding.MembersChanged({"b": "z"}))
+        self.handle("b", feeding.MembersChanged({"a": "z"}))
+        self.handle(self.feeder, feeding.ServiceConnected())
+        self.handle(self.feeder, feeding.ServiceHeard())
+
+
+def test_a_drain_reaches_an_agent_whose_feeder_started_after_it() -> None:
+    """Guards against a feeder whose numbers count from a later start: its events were passed over."""
+    agents = TwoAgents()
+    agents.connect()
+    agents.pass_time(1000.0)
+    for _ in range(5):
+        agents.publish("h1", "ready")
+    assert agents.lists[agents.fed] == {"h0": "ready", "h1": "ready"}
+    agents.restart_feeder()
+    agents.pass_time(1000.0)
+    agents.publish("h0", "draining")
+    assert agents.lists[agents.fed] == {"h0": "draining", "h1": "ready"}
+
+
+def test_no_list_is_exchanged_with_an_agent_of_the_version_before() -> None:
+    """Guards against numbers of the list service, which mean something else at each agent."""
+    feed = Feed("a", "z", OWN_STREAM, True, Settings(agents=4), 0.0)
+    feed.handle(feeding.MembersChanged({"b": "z"}), 0.0)
+    for message in (
+        Subscribe(3, version=1),
+        FeedUpdate(0, (b"event",), 0.0, True, True, version=1),
+    ):
+        assert feed.handle(feeding.MessageReceived("b", message), 100.0) == []
+    assert feed.position == feed.own_position and not feed.subscribers
 
 
 def test_a_feeder_dials_the_new_address_of_the_service_and_a_fed_agent_does_not() -> None:
@@ -401,16 +563,13 @@
     coordinator = StartupCoordinator(Settings(agents=4), "a", fleet)
     coordinator.agent = SimpleNamespace(side=SimpleNamespace(bus=None))
     assert coordinator.first_delay_ms(LIST_SERVICE) == float("inf")  # the feed has not been created yet
-    coordinator.feed = Feed("a", "z", 0, Settings(agents=4), 0.0)
+    assert coordinator.distribution is not None
+    feed = coordinator.distribution.feed = Feed("a", "z", "a", True, Settings(agents=4), 0.0)
     assert coordinator.first_delay_ms(LIST_SERVICE) == float("inf")
-    coordinator.feed.is_feeder = True
-    coordinator.feed.role = Role.FEEDING
-    coordinator.feed.connected = True
-    assert (
-        coordinator.first_delay_ms(LIST_SERVICE) < float("inf")
-        and not coordinator.feed.connected
-        and coordinator.feed.dialing
-    )
+    feed.is_feeder = True
+    feed.role = Role.FEEDING
+    feed.connected = True
+    assert coordinator.first_delay_ms(LIST_SERVICE) < float("inf") and not feed.connected and feed.dialing
 
 
 # The configuration
