Feed: the retained changes and the position leave as ChangeStream

Clean-up without a change of behaviour but one: whether an agent starts with a list of its own to defend is now said by `known` of its configuration, no longer by a list that the store restored, which is of an earlier start.

The property test of the feed counts the own stream's numbers by itself, so that a number used twice would be found.

--- a/frostport/list_distribution.py
+++ b/frostport/list_distribution.py
@@ -12,6 +12,7 @@
 import msgspec
 import orjson
 
+from frostport.config import Config
 from frostport.core.clock import Clock, MonotonicClock
 from frostport.core.dial_policy import LIST_SERVICE
 from frostport.core.event_position import new_stream_id
@@ -36,6 +37,7 @@
 class DistributingAgent(Protocol):
     """What the distribution uses of the agent; `side` is a PlatformSide."""
 
+    config: Config
     side: Any
 
 
@@ -62,7 +64,7 @@
             self.name,
             self.fleet.config.zone,
             new_stream_id(),
-            bool(agent.side.server_list.entries),
+            bool(agent.config.known),
             self.settings,
             self.monotonic.now(),
         )
@@ -165,7 +167,7 @@
         hosts = orjson.loads(line)["topology"]["hosts"]
         self.fleet.record.event(
             "list",
-            number=self.feed.position.number,
+            number=self.feed.changes.position.number,
             role=self.feed.role.value,
             source=self._update_sender,
             age_ms=round(self.age_ms()),
@@ -178,7 +180,8 @@
         age = self.age_ms()
         source = f" by {self.feed.source}" if self.feed.source else ""
         heard = f"{age:.0f} ms ago" if age >= 0.0 else "never"
+        number = self.feed.changes.position.number
         return (
-            f"list {self.feed.position.number} {self.feed.role.value}{source}, the service heard {heard}; "
+            f"list {number} {self.feed.role.value}{source}, the service heard {heard}; "
             f"feeds {len(self.feed.subscribers)}"
         )
--- a/frostport/startup/feed.py
+++ b/frostport/startup/feed.py
@@ -15,13 +15,12 @@
 
 from __future__ import annotations
 
-import itertools
 import math
-from collections import deque
 from collections.abc import Mapping
 from enum import Enum
 
 from frostport.core.event_position import EventPosition
+from frostport.startup.change_stream import ChangeStream
 from frostport.startup.feed_events import (
     Action,
     ApplyEvents,
@@ -56,7 +55,6 @@
 RENEWAL_MS = 4000.0  # a subscription is renewed so often; it expires after three times this
 EXCLUSION_MS = 5000.0  # a feeder that was silent or had an old list is not tried again for this time
 CURRENT_UPDATES = 3  # consecutive current updates after which a standalone agent leaves the list service
-MAX_RETAINED_EVENTS = 1000  # latest changes, retained for subscribers that lack them
 # Times `feeders` in each zone: so many agents with a partial view of the fleet may dial the service.
 PARTIAL_VIEW_FACTOR = 3
 
@@ -73,7 +71,7 @@
 class Feed:
     """One agent's part in the distribution.
 
-    `stream`: the id of this agent's own stream. `has_list`: it starts with a list of servers."""
+    `stream`: the id of this agent's own stream. `has_list`: its configuration has a list of servers."""
 
     def __init__(
         self,
@@ -89,9 +87,7 @@
         self.settings = settings
         self.started_at = now_ms
         self.role = Role.WAITING
-        self.own_position = EventPosition(stream)  # the last one of this agent's own stream
-        self.position = self.own_position  # after the last change of the list, in the stream that it follows
-        self.events: deque[bytes] = deque()  # the retained changes, up to `position`
+        self.changes = ChangeStream(stream)
         self.initial_list_at = now_ms if has_list else -math.inf
         self.zones: dict[str, str] = {}  # the zone of each other agent
         self.sees_half = False  # the membership shows at least half of the fleet
@@ -166,8 +162,8 @@
             case ServiceHeard(line):
                 self.service_last_received_at = now
                 self.hears_service = True
-                if self.position.stream != self.own_position.stream:
-                    self._return_to_own_stream()
+                if not self.changes.is_own:
+                    self.changes.return_to_own()
                 if line:
                     self._retain(line, now, actions)
                 else:
@@ -175,7 +171,7 @@
             case EventApplied(line):
                 self._retain(line, now, actions)
             case EventRejected():
-                self._return_to_own_stream()  # the next update is answered by asking for the complete list
+                self.changes.return_to_own()  # the next update is answered by asking for the complete list
             case MessageReceived(sender, message):
                 self._receive(sender, message, now, actions)
             case Tick():
@@ -204,24 +200,9 @@
 
     # To subscribers
 
-    def _return_to_own_stream(self) -> None:
-        """Leaves the stream that the list follows. No change leads here from the last own position."""
-        self.own_position = self.own_position.at(self.own_position.number + 1)
-        self._begin_at(self.own_position)
-
-    def _begin_at(self, position: EventPosition) -> None:
-        self.position = position
-        self.events.clear()
-
     def _retain(self, line: bytes, now: float, actions: list[Action]) -> None:
         """Retains a change of the list, and sends it to the subscribers."""
-        before = self.position
-        self.position = before.at(before.number + 1)
-        if self.position.stream == self.own_position.stream:
-            self.own_position = self.position
-        self.events.append(line)
-        if len(self.events) > MAX_RETAINED_EVENTS:
-            self.events.popleft()
+        before = self.changes.append(line)
         update = self._build_update(before, (line,), now)
         actions += [Send(name, update) for name in self.subscribers]
 
@@ -242,27 +223,23 @@
 
     def snapshot_update(self, complete_list: bytes, now: float) -> FeedUpdate:
         """Returns the message that carries the complete list, given as one event."""
-        return self._build_update(self.position, (complete_list,), now, is_snapshot=True)
+        return self._build_update(self.changes.position, (complete_list,), now, is_snapshot=True)
 
     def _send_heartbeat(self, now: float, actions: list[Action]) -> None:
         self.heartbeat_at = now
-        update = self._build_update(self.position, (), now)
+        update = self._build_update(self.changes.position, (), now)
         actions += [Send(name, update) for name in self.subscribers]
 
     def _answer_subscriber(self, to: str, request: Subscribe, now: float, actions: list[Action]) -> None:
         after = EventPosition(request.stream, request.after_number)
-        missing = self.position.number - after.number
-        if after.stream != self.position.stream or not 0 <= missing <= len(self.events):
-            unchanged = Send(to, self._build_update(self.position, (), now))
-            actions.append(SendSnapshot(to) if request.complete else unchanged)
-            return
-        events: list[bytes] = []
-        size = 0
-        for line in itertools.islice(self.events, len(self.events) - missing, None):
-            if size < MAX_BATCH_BYTES:  # it asks again for the remaining ones
-                events.append(line)
-                size += len(line)
-        actions.append(Send(to, self._build_update(after, tuple(events), now)))
+        # It asks again for those that are left out.
+        events = self.changes.changes_after(after, MAX_BATCH_BYTES)
+        if events is not None:
+            actions.append(Send(to, self._build_update(after, events, now)))
+        elif request.complete:
+            actions.append(SendSnapshot(to))
+        else:
+            actions.append(Send(to, self._build_update(self.changes.position, (), now)))
 
     # From other agents
 
@@ -297,10 +274,10 @@
     def _follow(self, sender: str, update: FeedUpdate, now: float, actions: list[Action]) -> None:
         """Applies what the list lacks of a stream, or asks for it."""
         after = EventPosition(update.stream, update.after_number)
-        same_stream = after.stream == self.position.stream
-        is_behind = self.position.is_before(after) if same_stream else self._is_newer(update, now)
+        same_stream = after.stream == self.changes.position.stream
+        is_behind = self.changes.position.is_before(after) if same_stream else self._is_newer(update, now)
         if update.is_snapshot and is_behind:
-            self._begin_at(after)
+            self.changes.begin_at(after)
             actions.append(ApplySnapshot(update.events[0]))
         elif is_behind:
             self._subscribe(sender, now, actions, complete=True)
@@ -308,7 +285,7 @@
         elif not same_stream:
             return  # the list follows that stream once the sender has heard the service again
         elif not update.is_snapshot:
-            events = update.events[self.position.number - after.number :]
+            events = update.events[self.changes.position.number - after.number :]
             if events:
                 actions.append(ApplyEvents(events))
             if len(update.events) > 1:
@@ -349,7 +326,10 @@
     def _subscribe(self, name: str, now: float, actions: list[Action], complete: bool = False) -> None:
         self.subscribed_at = now
         request = Subscribe(
-            self.position.number, pressures=self.pressures, stream=self.position.stream, complete=complete
+            self.changes.position.number,
+            pressures=self.pressures,
+            stream=self.changes.position.stream,
+            complete=complete,
         )
         actions.append(Send(name, request))
 
--- a/frostport/startup_coordinator.py
+++ b/frostport/startup_coordinator.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
+from frostport.config import Config
 from frostport.core.broker import Broker
 from frostport.core.clock import Clock, MonotonicClock
 from frostport.core.deadlines import Deadlines
@@ -43,6 +44,7 @@
 class StartingAgent(Protocol):
     """What the coordinator uses of the agent; `side` is a PlatformSide."""
 
+    config: Config
     clock: Clock
     deadlines: Deadlines
     lifecycle: Lifecycle
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -699,6 +699,15 @@
         expect c1 FINISH a rc=42
         expect bus nothing
     """,
+    "sighup: a lower number in `known` does not set back where another bus is asked": f"""
+        expect bus from 1
+        send bus {event(2, host(1, "draining"))}
+        send agent hup known={{"offset":0,"batch":[]}}
+        expect bus nothing
+        send agent hup bus="10.0.1.2:1"
+        expect bus closed
+        expect bus2 from 2
+    """,
     "sighup: one bad field, and nothing changes": SET_UP
     + """
         send agent hup missing
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -287,6 +287,7 @@
         expect s0 nothing
     """,
 }
+KNOWN_WITHOUT_H0 = json.dumps(known(host(1)), separators=(",", ":"))
 KNOWN_DRAINING = json.dumps(known(host(0, "draining"), host(1)), separators=(",", ":"))
 PLATFORM = {
     "a call stays established; its client ends it at its server, and at no other": ESTABLISHED
@@ -456,6 +457,22 @@
         expect s0 closed
         expect s0 START b
     """,
+    "a server that left the list while the agent was down: its calls are over": ESTABLISHED
+    + f"""
+        send agent kill
+        expect c1 closed
+        send agent start known={KNOWN_WITHOUT_H0}
+        send c1 ECHO b
+        expect c1 ECHOED b
+        send c1 START d class=race left=8000 extras=dest:0 blob=x
+        expect s1 closed
+        expect s1 START d
+        send s1 STARTED d blob=x
+        expect c1 STARTED d
+        wait 10000
+        expect c1 FINISH a rc=41
+        expect agent standing 1
+    """,
     "a server replaced while the agent was down: its calls are over": ESTABLISHED
     + """
         send agent kill
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -379,6 +379,7 @@
     feed: Feed
     now: float = 0.0
     position: tuple[str, int] = (OWN_STREAM, 0)
+    own_number: int = 0  # the last one in the own stream
     heard_at: float = 0.0  # when the list was heard from the service at the latest, or the start
     connected: bool = False
     connect_requested: bool = False
@@ -426,21 +427,20 @@
         self.position = (stream, int(number))
 
     def return_to_own_stream(self) -> None:
-        assert self.feed.position.stream == OWN_STREAM
-        self.position = (OWN_STREAM, self.feed.position.number)
+        assert self.feed.changes.position.number > self.own_number, "a number of the own stream used twice"
+        self.own_number = self.feed.changes.position.number
+        self.position = (OWN_STREAM, self.own_number)
 
     def service_heard(self, event: bool) -> None:
-        number = self.feed.own_position.number
         if self.position[0] != OWN_STREAM:
-            number += 1  # nothing leads from the last own number to the list of another agent
-        self.position = (OWN_STREAM, number + event)
+            self.own_number += 1  # nothing leads from the last own number to the list of another agent
+        self.own_number += event
+        self.position = (OWN_STREAM, self.own_number)
         self.handle(feeding.ServiceHeard(b"change" if event else b""))
 
     def check_position(self) -> None:
-        found = self.feed.position
+        found = self.feed.changes.position
         assert (found.stream, found.number) == self.position
-        if found.stream == OWN_STREAM:
-            assert found == self.feed.own_position
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
@@ -554,7 +554,7 @@
         FeedUpdate(0, (b"event",), 0.0, True, True, version=1),
     ):
         assert feed.handle(feeding.MessageReceived("b", message), 100.0) == []
-    assert feed.position == feed.own_position and not feed.subscribers
+    assert feed.changes.is_own and not feed.subscribers
 
 
 def test_a_feeder_dials_the_new_address_of_the_service_and_a_fed_agent_does_not() -> None:
