An agent fed by another zone returns to a feeder of its own

Cause: since an agent follows one other agent alone, it stayed with the first whose list was current.

Change: with each renewal it asks its own zone's best feeder as well, and follows that once its list is current.

--- a/frostport/list_distribution.py
+++ b/frostport/list_distribution.py
@@ -13,7 +13,7 @@
 import orjson
 
 from frostport.config import Config
-from frostport.core.clock import Clock, MonotonicClock
+from frostport.core.clock import MonotonicClock
 from frostport.core.dial_policy import LIST_SERVICE
 from frostport.core.event_position import new_stream_id
 from frostport.net.jsonl import BadLineError
@@ -45,7 +45,7 @@
     """Runs one agent's `Feed`: passes it what is heard, and carries out its actions."""
 
     def __init__(
-        self, settings: Settings, name: str, fleet: Fleet, pacer: DialPacer, monotonic: MonotonicClock | Clock
+        self, settings: Settings, name: str, fleet: Fleet, pacer: DialPacer, monotonic: MonotonicClock
     ) -> None:
         self.settings = settings
         self.name = name
--- a/frostport/startup/feed.py
+++ b/frostport/startup/feed.py
@@ -255,9 +255,8 @@
 
     def _receive_update(self, sender: str, update: FeedUpdate, now: float, actions: list[Action]) -> None:
         current = 0.0 <= update.age_ms < self.settings.old_ms
-        is_better = sender != self.source and current and not self.source_current
         is_first = self.role is Role.WAITING and sender == self.source and update.age_ms >= 0.0
-        if (is_better and self.role in (Role.WAITING, Role.FED)) or is_first:
+        if is_first or (current and self.role in (Role.WAITING, Role.FED) and self._prefers(sender)):
             self._set_role(Role.FED, sender, now, actions)
         if sender == self.source:
             self.source_last_received_at = now
@@ -271,6 +270,15 @@
                 self._set_role(Role.FED, sender, now, actions)
                 self._subscribe(sender, now, actions)
 
+    def _prefers(self, sender: str) -> bool:
+        """Whether an agent with a current list replaces the source: that has none, or is in another zone."""
+        if sender == self.source:
+            return False
+        return not self.source_current or (self._in_own_zone(sender) and not self._in_own_zone(self.source))
+
+    def _in_own_zone(self, name: str) -> bool:
+        return self.zones.get(name) == self.zone
+
     def _follow(self, sender: str, update: FeedUpdate, now: float, actions: list[Action]) -> None:
         """Applies what the list lacks of a stream, or asks for it."""
         after = EventPosition(update.stream, update.after_number)
@@ -362,6 +370,9 @@
                     self._subscribe(other, now, actions)
         elif now - self.subscribed_at >= RENEWAL_MS:
             self._subscribe(self.source, now, actions)
+            best = self.feeders()[:1]
+            if best and self._in_own_zone(best[0]) and not self._in_own_zone(self.source):
+                self._subscribe(best[0], now, actions)
         if self._needs_service(now):
             self._set_role(Role.STANDALONE, "", now, actions)
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -230,6 +230,17 @@
     run_scenario(case, AGENT_COUNT, seed)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_agents_return_to_a_feeder_of_their_own_zone(seed: int) -> None:
+    # Guards against half of the agents that stay with whichever feeder had a current list first.
+    site = build_site("all at once", AGENT_COUNT, seed)
+    start_all_at_once(site)
+    site.run(10_000.0)
+    sources = {name: agent.feed.source for name, agent in site.agents.items() if agent.feed.source}
+    assert len(sources) > AGENT_COUNT / 2
+    assert [name for name, source in sources.items() if site.zone(name) != site.zone(source)] == []
+
+
 @pytest.mark.parametrize("case", ["all at once", "list service and lobby servers away for 10 s"])
 def test_a_cold_start_of_a_thousand_agents(case: str) -> None:
     run_scenario(case, 1000, 9)
