Cold start simulation: a list older than the agent's first one counts as outdated

The check of lists that are replaced by older ones began with the first event that an agent received: a list older than the one it started with passed, and so did one that was still older at the end.

--- a/standins/cold_start_simulation.py
+++ b/standins/cold_start_simulation.py
@@ -93,7 +93,7 @@
         self.pacer = DialPacer(site.settings, random.Random(site.rng.random()), now)
         self.feed = Feed(name, self.zone, f"{name}/{self.incarnation}", True, site.settings, now)
         self.readiness = StagedReadiness(site.settings, now)
-        self.offset = self.bus_offset = offset
+        self.offset = self.bus_offset = self.newest_offset = offset
         self.outdated_since: float | None = None  # the list is older than one that it has had
         self.longest_outdated_ms = 0.0
         self.members: dict[str, str] = {}
@@ -214,11 +214,11 @@
         kind, number = line.split()
         offset = int(number)
         assert kind == b"whole" or offset == self.offset + 1, f"{self.name} applies {offset} to {self.offset}"
-        newest = max(self.event_received_at, default=0)
-        for received in range(max(self.offset, newest) + 1, offset + 1):
+        for received in range(self.newest_offset + 1, offset + 1):
             self.event_received_at[received] = self.site.now
+        self.newest_offset = max(self.newest_offset, offset)
         self.offset = offset
-        if offset < newest:
+        if offset < self.newest_offset:
             self.outdated_since = self.outdated_since or self.site.now
         elif self.outdated_since is not None:
             self.longest_outdated_ms = max(self.longest_outdated_ms, self.site.now - self.outdated_since)
@@ -512,8 +512,14 @@
         return sum(agent.readiness.ready for agent in self.agents.values())
 
     def longest_outdated_ms(self) -> float:
-        """The longest time for which an agent's list was older than one that it had had, ms."""
-        return max((agent.longest_outdated_ms for agent in self.agents.values()), default=0.0)
+        """The longest time for which an agent's list was, or still is, older than one that it had had, ms."""
+        times = [agent.longest_outdated_ms for agent in self.agents.values()]
+        times += [
+            self.now - agent.outdated_since
+            for agent in self.agents.values()
+            if agent.outdated_since is not None
+        ]
+        return max(times, default=0.0)
 
     def collapsed(self) -> list[str]:
         """The names of the endpoints that have collapsed."""
